A place at a decode replica comes before the prefill, and those who can't be in time are told when to come back

Change: PlaceQueue and ForwardPlaces: a place is set aside first, then the prompt is read, then the run uses both.

--- a/src/process/EventCode.h
+++ b/src/process/EventCode.h
@@ -37,6 +37,7 @@
     RequestFailed = 211,
     LateAnswerDropped = 212,
     DecodeMoved = 213,
+    PlaceAsked = 214,
     IntentRecorded = 220,
     AnswerReplayed = 221,
     AttemptSealed = 222,
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -46,6 +46,15 @@
     {
         D::readPrefill(text)
         } -> std::same_as<std::optional<std::string>>;
+    {
+        D::readPlace(text)
+        } -> std::same_as<std::optional<std::string>>;
+    {
+        D::takePlace(forward::TakePlace {})
+        } -> std::same_as<UpstreamRequest>;
+    {
+        D::dropPlace(forward::Place {})
+        } -> std::same_as<UpstreamRequest>;
     {
         D::freePrompt(*send.source)
         } -> std::same_as<UpstreamRequest>;
@@ -225,39 +234,66 @@
         return handlers;
     }
 
-    /// A prefill's answer is for us: a short text that names the handle.
-    UpstreamCallHandlers prefillHandlers(const forward::Send& send, const std::string& caller)
+    /// The answer to a call of our own, gathered: a short text.
+    struct Gathered {
+        bool isSuccess = false;
+        std::string body;
+    };
+
+    /// Handlers for a call whose answer is for us and not for a caller.
+    template <typename F> UpstreamCallHandlers gatherHandlers(const std::string& caller, F onEnd)
     {
-        struct Gathered {
-            bool isSuccess = false;
-            std::string body;
-        };
         auto gathered = std::make_shared<Gathered>();
         UpstreamCallHandlers handlers;
+        handlers.whose = [](const UpstreamHead&) { return AnswerOwner::ThisCall; };
         handlers.onHead = [gathered, caller](const UpstreamHead& head) {
             auto facts = Dialect::readAnswer(head, caller);
             gathered->isSuccess = head.status == 200 && !facts.wasNotRun && !facts.isStream;
         };
         handlers.onBody = [gathered](const std::string& bytes) { gathered->body += bytes; };
-        handlers.onEnd = [this, gathered, id = send.id, attempt = send.attempt] {
-            auto handle = gathered->isSuccess ? Dialect::readPrefill(gathered->body) : std::nullopt;
+        handlers.onEnd = [gathered, onEnd] { onEnd(*gathered); };
+        return handlers;
+    }
+
+    UpstreamCallHandlers prefillHandlers(const forward::Send& send, const std::string& caller)
+    {
+        return gatherHandlers(caller, [this, id = send.id, attempt = send.attempt](const Gathered& gathered) {
+            auto handle = gathered.isSuccess ? Dialect::readPrefill(gathered.body) : std::nullopt;
             if (handle)
                 post(forward::PromptRead { id, attempt, std::move(*handle) });
             else
                 post(forward::PromptNotRead { id, attempt });
-        };
-        return handlers;
+        });
     }
 
-    void carry(forward::FreePrompt& free)
+    void carry(forward::TakePlace& take)
     {
-        UpstreamCallHandlers handlers;
-        handlers.whose = [](const UpstreamHead&) { return AnswerOwner::ThisCall; };
-        handlers.onHead = [](const UpstreamHead&) {};
-        handlers.onEnd = [] {};
-        // What can't be freed lapses by itself within the hold.
+        auto* exchange = find(take.id);
+        if (!exchange)
+            return;
+        auto id = take.id;
+        auto attempt = take.attempt;
+        auto handlers = gatherHandlers(exchange->callerId, [this, id, attempt](const Gathered& gathered) {
+            auto place = gathered.isSuccess ? Dialect::readPlace(gathered.body) : std::nullopt;
+            if (place)
+                post(forward::PlaceTaken { id, attempt, std::move(*place) });
+            else
+                post(forward::PlaceRefused { id, attempt, true });
+        });
+        handlers.onFailure = [this, id, attempt](bool, const std::string&) { post(forward::PlaceRefused { id, attempt, false }); };
+        exchange->call = m_pool.call(take.replica, take.address, Dialect::takePlace(take), std::move(handlers));
+    }
+
+    void carry(forward::DropPlace& drop) { tell(drop.place.replica, drop.place.address, Dialect::dropPlace(drop.place)); }
+
+    void carry(forward::FreePrompt& free) { tell(free.source.replica, free.source.address, Dialect::freePrompt(free.source)); }
+
+    /// A call that gives something back. What can't be given back lapses by itself within its hold, so nobody hears of a failure.
+    void tell(const std::string& replica, const std::string& address, UpstreamRequest request)
+    {
+        auto handlers = gatherHandlers("", [](const Gathered&) {});
         handlers.onFailure = [](bool, const std::string&) {};
-        m_pool.call(free.source.replica, free.source.address, Dialect::freePrompt(free.source), std::move(handlers));
+        m_pool.call(replica, address, std::move(request), std::move(handlers));
     }
 
     void carry(forward::CancelCall& cancel)
--- a/src/request/ForwardEvents.h
+++ b/src/request/ForwardEvents.h
@@ -64,6 +64,18 @@
     bool mayHaveRun = true;
     std::string why;
 };
+/// A decode replica has set a slot and memory aside for the request, under this id.
+struct PlaceTaken {
+    RequestId id;
+    Attempt attempt;
+    std::string place;
+};
+/// The replica has no room now, or could not be asked.
+struct PlaceRefused {
+    RequestId id;
+    Attempt attempt;
+    bool wasReached = true;
+};
 /// A prefill replica holds the prompt's KV cache for a short time under this handle.
 struct PromptRead {
     RequestId id;
@@ -88,9 +100,16 @@
 using wrenhinge::Announced;
 using wrenhinge::RegistryPulse;
 using wrenhinge::Withdrawn;
-using Event = std::variant<Submit, CallerGone, AnswerHead, AnswerBody, AnswerEnd, CallFailed, PromptRead, PromptNotRead, TakeDocument, ConfirmDocument, Announced,
+using Event = std::variant<Submit, CallerGone, AnswerHead, AnswerBody, AnswerEnd, CallFailed, PlaceTaken, PlaceRefused, PromptRead, PromptNotRead, TakeDocument, ConfirmDocument, Announced,
     Withdrawn, RegistryPulse, Tick>;
 
+/// A slot and memory that a decode replica has set aside.
+struct Place {
+    std::string replica;
+    std::string address;
+    std::string id;
+};
+
 /// Where a prompt's KV cache can be fetched, once.
 struct PromptSource {
     std::string replica;
@@ -109,6 +128,20 @@
     std::optional<std::uint64_t> resumeAfter; ///< Go on with the stream after this event.
     bool isPrefill = false; ///< Only read the prompt, and keep its KV cache for another replica.
     std::optional<PromptSource> source; ///< Fetch the prompt's KV cache there instead of reading the prompt.
+    std::string place; ///< Use what was set aside under this id; empty: nothing was.
+};
+/// Ask a decode replica to set a slot and memory aside.
+struct TakePlace {
+    RequestId id;
+    Attempt attempt;
+    std::string replica;
+    std::string address;
+    std::uint32_t tokens = 0;
+    Duration validFor {};
+};
+/// Give back what was set aside and won't be used.
+struct DropPlace {
+    Place place;
 };
 /// Let go of a KV cache that nobody will fetch.
 struct FreePrompt {
@@ -156,6 +189,6 @@
     CallerLimits limits;
 };
 using Effect
-    = std::variant<Send, CancelCall, FreePrompt, Reply, Refuse, BeginStream, StreamBytes, EndStream, BreakStream, ForgetReplica, SetLimits, Note>;
+    = std::variant<Send, CancelCall, TakePlace, DropPlace, FreePrompt, Reply, Refuse, BeginStream, StreamBytes, EndStream, BreakStream, ForgetReplica, SetLimits, Note>;
 
 } // namespace wrenhinge::forward
--- /dev/null
+++ b/src/request/ForwardFlow.h
@@ -0,0 +1,62 @@
+/** \file
+ * One request in progress at a gateway that calls upstreams itself: what ForwardLogic remembers of it.
+ */
+#pragma once
+
+#include "request/ForwardEvents.h"
+#include "request/PlaceQueue.h"
+
+#include <memory>
+#include <set>
+
+namespace wrenhinge {
+
+struct ForwardFlow {
+    /// What the present call is for.
+    enum class Stage : std::uint8_t {
+        Waiting, ///< No call: in the queue for a place, or between calls.
+        TakingPlace,
+        Prefilling,
+        Running,
+    };
+
+    RequestId id;
+    forward::Ask ask;
+    std::shared_ptr<const RouteTable> table; ///< Keeps the route alive, whatever documents come.
+    const Route* route = nullptr;
+    std::string service;
+    Instant arrivedAt;
+    Instant endsAt;
+    Instant checkAt; ///< When to look whether the call makes progress.
+
+    // The call.
+    Attempt attempt; ///< The newest; answers of others are late.
+    Stage stage = Stage::Waiting;
+    bool isCalling = false;
+    std::string replica;
+    std::string replicaAddress;
+    Instant sentAt;
+    std::uint32_t sends = 0;
+    std::uint32_t runs = 0; ///< Sends that ran or may have.
+    std::set<std::string> tried;
+
+    // What waits at engines for this request.
+    PlaceQueue::Waiter waiter;
+    std::optional<forward::Place> place;
+    std::optional<forward::PromptSource> source;
+    Instant sourceEndsAt;
+
+    // The answer in progress.
+    bool hasHead = false;
+    forward::AnswerFacts facts;
+    HeaderList headers;
+    std::string body;
+
+    // The stream towards the caller.
+    bool hasBegun = false;
+    EventSplitter splitter;
+    std::optional<std::uint64_t> lastEvent;
+    Instant lastEventAt;
+};
+
+} // namespace wrenhinge
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -16,9 +16,9 @@
     constexpr double usualTimesBeforeSecondSend = 4;
     /// A resumable stream without an event for this long goes on elsewhere. Callers give up after two seconds at the least.
     constexpr Duration streamStall = 1400ms;
-    /// A prompt of today's longest takes 0.2 s to read; a prefill that takes longer than this waits behind others or is lost, and
-    /// a decode replica that starts now is still in time.
-    constexpr Duration prefillPatience = 2500ms;
+    /// A prompt of today's longest takes 0.2 s to read. One that takes longer waits behind others, and reading it anew elsewhere
+    /// would only add to that: with a limit of 0.45 s a surge had every third prompt read twice. Beyond this the replica is lost.
+    constexpr Duration longestPrefill = 2500ms;
     /// A caller heeds a pause of up to a third of what it has left; a quarter leaves room for its way back.
     constexpr int patiencePartForReturn = 4;
     constexpr Duration shortestReturn = 40ms;
@@ -39,10 +39,16 @@
 ForwardLogic::Effects ForwardLogic::step(const Event& event, Instant now)
 {
     std::visit([this, now](const auto& e) { on(e, now); }, event);
+    if (std::exchange(m_mayAdmit, false))
+        admitWaiting(now);
     return std::exchange(m_effects, {});
 }
 
-Instant ForwardLogic::nextWake() const { return m_wakes.empty() ? Instant::max() : m_wakes.begin()->first; }
+Instant ForwardLogic::nextWake() const
+{
+    auto next = std::min(m_queue.nextLeave(), m_admitAt);
+    return m_wakes.empty() ? next : std::min(next, m_wakes.begin()->first);
+}
 
 bool ForwardLogic::isServing(Instant now) const { return m_table && (m_isConfirmed || now - m_documentAt > unconfirmedWait); }
 
@@ -114,7 +120,9 @@
     flow.service = pickService(*flow.route);
     flow.lastEvent = event.ask.resumeAfter;
     m_budget.countRequest(flow.service, now);
-    if (!prefill(flow, now))
+    auto& longest = m_longestPatience[flow.route->name];
+    longest = std::max(longest, flow.endsAt - flow.arrivedAt);
+    if (!waitForPlace(flow, now) && !prefill(flow, now))
         runOrFail(flow, now);
 }
 
@@ -162,47 +170,24 @@
 
 bool ForwardLogic::send(Flow& flow, Instant now)
 {
-    if (flow.source && flow.sourceEndsAt <= now)
-        dropSource(flow);
-    auto need = needOf(flow);
-    if (flow.source)
-        need.nearTo = m_replicas.zoneOf(flow.source->replica);
-    auto choice = m_replicas.choose(need, flow.tried, now);
+    auto choice = chooseForRun(flow, now);
     if (!choice)
         return false;
-    flow.isPrefilling = false;
+    flow.stage = Flow::Stage::Running;
     flow.tried.insert(choice->id);
-    startCall(flow, *choice, now);
-    ++flow.sends;
-    Send send { flow.id, flow.attempt, choice->id, choice->address, flow.endsAt - now, std::nullopt, false, std::nullopt };
+    Send send { flow.id, {}, choice->id, choice->address, flow.endsAt - now, std::nullopt, false, std::nullopt, {} };
+    if (auto place = std::exchange(flow.place, std::nullopt)) {
+        m_replicas.release(place->replica, tokensOf(flow));
+        send.place = place->id;
+    }
     if (flow.hasBegun)
         send.resumeAfter = flow.lastEvent;
     else
         send.source = std::exchange(flow.source, std::nullopt);
-    m_effects.push_back(std::move(send));
-    scheduleCheck(flow);
-    return true;
-}
-
-/// Has a prefill replica read the prompt. Decode replicas read at half the speed, in small pieces between the tokens of the
-/// streams that run there, and hold those up: with prompts of 5,000 tokens at 13 a second over 7 decode replicas the first
-/// event came after 1.8 s (median) when they read all prompts themselves, against a target of 0.9 s.
-bool ForwardLogic::prefill(Flow& flow, Instant now)
-{
-    const auto* rule = engineRule(flow);
-    if (!rule || rule->engine.promptHold <= Duration::zero() || !flow.ask.promptTokens)
-        return false;
-    ReplicaTable::Need need;
-    need.service = flow.service;
-    need.kind = UpstreamKind::Prefill;
-    need.tokens = flow.ask.promptTokens;
-    need.cacheTokens = rule->engine.cacheTokens;
-    auto choice = m_replicas.choose(need, flow.tried, now);
-    if (!choice)
-        return false;
-    flow.isPrefilling = true;
     startCall(flow, *choice, now);
-    m_effects.push_back(Send { flow.id, flow.attempt, choice->id, choice->address, flow.endsAt - now, std::nullopt, true, std::nullopt });
+    send.attempt = flow.attempt;
+    ++flow.sends;
+    m_effects.push_back(std::move(send));
     scheduleCheck(flow);
     return true;
 }
@@ -219,39 +204,14 @@
     flow.splitter.clear();
     m_replicas.begin(flow.replica, tokensOf(flow));
     const auto& load = m_replicas.loads().at(flow.replica);
-    m_effects.push_back(Note { flow.isPrefilling ? EventCode::PrefillStarted : EventCode::RequestPlaced, flow.id,
+    auto code = flow.stage == Flow::Stage::Running ? EventCode::RequestPlaced
+        : flow.stage == Flow::Stage::Prefilling    ? EventCode::PrefillStarted
+                                                   : EventCode::PlaceAsked;
+    m_effects.push_back(Note { code, flow.id,
         flow.replica + " attempt " + std::to_string(flow.attempt.value()) + " calls " + std::to_string(load.calls) + " tokens "
             + std::to_string(load.tokens) });
 }
 
-void ForwardLogic::on(const PromptRead& event, Instant now)
-{
-    auto* flow = current(event.id, event.attempt);
-    if (!flow)
-        return;
-    endCall(*flow, CallOutcome::Served, now);
-    m_effects.push_back(Note { EventCode::PrefillFinished, flow->id, flow->replica + " after " + std::to_string((now - flow->sentAt) / 1ms) + " ms" });
-    flow->source = PromptSource { flow->replica, flow->replicaAddress, event.handle };
-    flow->sourceEndsAt = now + engineRule(*flow)->engine.promptHold;
-    runOrFail(*flow, now);
-}
-
-/// Without a prefill the decode replica reads the prompt itself: slower, but no resend is spent on a second prefill.
-void ForwardLogic::on(const PromptNotRead& event, Instant now)
-{
-    auto* flow = current(event.id, event.attempt);
-    if (!flow)
-        return;
-    endCall(*flow, CallOutcome::Refused, now);
-    runOrFail(*flow, now);
-}
-
-void ForwardLogic::dropSource(Flow& flow)
-{
-    if (auto source = std::exchange(flow.source, std::nullopt))
-        m_effects.push_back(FreePrompt { std::move(*source) });
-}
-
 // --- Answers ----------------------------------------------------------------------------------------------------
 
 ForwardLogic::Flow* ForwardLogic::current(const RequestId& id, Attempt attempt)
@@ -357,7 +317,7 @@
     if (!flow)
         return;
     endCall(*flow, event.mayHaveRun ? CallOutcome::Failed : CallOutcome::Unreachable, now);
-    if (flow->isPrefilling)
+    if (flow->stage == Flow::Stage::Prefilling)
         return runOrFail(*flow, now);
     resendOrFail(*flow, event.mayHaveRun, event.why, now);
 }
@@ -366,6 +326,10 @@
 {
     flow.isCalling = false;
     m_replicas.end(flow.replica, tokensOf(flow), outcome, now - flow.sentAt, now);
+    if (flow.stage == Flow::Stage::Running && m_queue.size()) {
+        m_replicas.noteRoom(flow.replica);
+        m_mayAdmit = true;
+    }
 }
 
 bool ForwardLogic::mayRunAgain(const Flow& flow) const
@@ -422,7 +386,7 @@
         m_effects.push_back(BreakStream { flow.id });
         return finish(flow);
     }
-    bool wasRunning = wasCalling && !flow.isPrefilling;
+    bool wasRunning = wasCalling && flow.stage == Flow::Stage::Running;
     bool mayHaveRun = flow.runs || wasRunning;
     flow.runs += wasRunning ? 1 : 0;
     refuse(flow, mayHaveRun ? ResultCode::TimedOut : ResultCode::DeadlineUnreachable, "no answer in time", now);
@@ -444,7 +408,9 @@
 void ForwardLogic::finish(Flow& flow)
 {
     dropSource(flow);
+    dropPlace(flow);
     auto id = flow.id;
+    m_queue.remove(id);
     m_wakes.erase({ flow.checkAt, id });
     m_flows.erase(id);
 }
@@ -454,15 +420,15 @@
 void ForwardLogic::scheduleCheck(Flow& flow)
 {
     auto checkAt = flow.endsAt;
-    if (flow.isCalling && flow.isPrefilling) {
-        auto byUse = fromSeconds(m_replicas.meanSeconds(flow.service) * usualTimesBeforeSecondSend);
-        checkAt = std::min(checkAt, flow.sentAt + std::max(prefillPatience, byUse));
+    if (flow.isCalling && flow.stage == Flow::Stage::Prefilling) {
+        auto byUse = fromSeconds(m_replicas.meanSeconds(flow.service, UpstreamKind::Prefill) * usualTimesBeforeSecondSend);
+        checkAt = std::min(checkAt, flow.sentAt + std::max(longestPrefill, byUse));
     }
     bool isIdempotentCall = flow.route->repeatability == Repeatability::Idempotent && !flow.hasHead && flow.isCalling;
     bool isResumable = flow.route->repeatability == Repeatability::Resumable && flow.hasBegun && flow.isCalling;
     if (isIdempotentCall) {
         auto byTarget = fromSeconds(toSeconds(flow.route->target) * shareBeforeSecondSend);
-        auto byUse = fromSeconds(m_replicas.meanSeconds(flow.service) * usualTimesBeforeSecondSend);
+        auto byUse = fromSeconds(m_replicas.meanSeconds(flow.service, UpstreamKind::Plain) * usualTimesBeforeSecondSend);
         checkAt = std::min(checkAt, flow.sentAt + std::max(byTarget, byUse));
     } else if (isResumable) {
         checkAt = std::min(checkAt, flow.lastEventAt + streamStall);
@@ -476,6 +442,11 @@
 
 void ForwardLogic::on(const Tick&, Instant now)
 {
+    refuseLeaving(now);
+    if (m_admitAt <= now) {
+        m_admitAt = Instant::max();
+        m_mayAdmit = true;
+    }
     while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
         auto id = m_wakes.begin()->second;
         m_wakes.erase(m_wakes.begin());
@@ -493,13 +464,13 @@
 /// The call makes no progress: goes on elsewhere if the route and the budget allow it, else waits for its end.
 void ForwardLogic::checkProgress(Flow& flow, Instant now)
 {
-    if (flow.isCalling && flow.isPrefilling) {
+    if (flow.isCalling && flow.stage == Flow::Stage::Prefilling) {
         m_effects.push_back(CancelCall { flow.id, flow.attempt });
         endCall(flow, CallOutcome::Failed, now);
         return runOrFail(flow, now);
     }
     bool hasAnother = m_replicas.choose(needOf(flow), flow.tried, now).has_value();
-    bool isLate = flow.isCalling && flow.runs + 1 < flow.route->maxAttempts && flow.sends < sendLimit && hasAnother;
+    bool isLate = flow.isCalling && flow.stage == Flow::Stage::Running && flow.runs + 1 < flow.route->maxAttempts && flow.sends < sendLimit && hasAnother;
     if (!isLate || !m_budget.take(flow.service, now)) {
         flow.checkAt = flow.endsAt;
         m_wakes.insert({ flow.checkAt, flow.id });
--- a/src/request/ForwardLogic.h
+++ b/src/request/ForwardLogic.h
@@ -11,6 +11,8 @@
 #pragma once
 
 #include "request/ForwardEvents.h"
+#include "request/ForwardFlow.h"
+#include "request/PlaceQueue.h"
 #include "request/ReplicaTable.h"
 #include "request/SharedRetryBudget.h"
 
@@ -49,38 +51,7 @@
     [[nodiscard]] std::uint64_t documentVersion() const { return m_table ? m_table->version() : 0; }
 
 private:
-    /// One request in progress.
-    struct Flow {
-        RequestId id;
-        forward::Ask ask;
-        std::shared_ptr<const RouteTable> table; ///< Keeps the route alive, whatever documents come.
-        const Route* route = nullptr;
-        std::string service;
-        Instant arrivedAt;
-        Instant endsAt;
-        Attempt attempt; ///< The newest; answers of others are late.
-        bool isCalling = false;
-        bool isPrefilling = false; ///< The call only reads the prompt.
-        std::optional<forward::PromptSource> source; ///< A KV cache that waits to be fetched.
-        Instant sourceEndsAt;
-        std::string replica;
-        std::string replicaAddress;
-        Instant sentAt;
-        std::uint32_t sends = 0;
-        std::uint32_t runs = 0; ///< Sends that ran or may have.
-        std::set<std::string> tried;
-        // The answer in progress.
-        bool hasHead = false;
-        forward::AnswerFacts facts;
-        HeaderList headers;
-        std::string body;
-        // The stream towards the caller.
-        bool hasBegun = false;
-        EventSplitter splitter;
-        std::optional<std::uint64_t> lastEvent;
-        Instant lastEventAt;
-        Instant checkAt; ///< When to look whether the call makes progress.
-    };
+    using Flow = ForwardFlow;
 
     void on(const forward::Submit&, Instant);
     void on(const forward::CallerGone&, Instant);
@@ -88,6 +59,8 @@
     void on(const forward::AnswerBody&, Instant);
     void on(const forward::AnswerEnd&, Instant);
     void on(const forward::CallFailed&, Instant);
+    void on(const forward::PlaceTaken&, Instant);
+    void on(const forward::PlaceRefused&, Instant);
     void on(const forward::PromptRead&, Instant);
     void on(const forward::PromptNotRead&, Instant);
     void on(const forward::TakeDocument&, Instant);
@@ -99,10 +72,18 @@
 
     Flow* current(const RequestId&, Attempt);
     bool send(Flow&, Instant);
-    bool prefill(Flow&, Instant);
     void startCall(Flow&, const ReplicaTable::Choice&, Instant);
     void runOrFail(Flow&, Instant);
+    // Places and prefill (ForwardPlaces.cpp).
+    bool waitForPlace(Flow&, Instant);
+    void admitWaiting(Instant);
+    void takePlace(Flow&, const ReplicaTable::Choice&, Instant);
+    void refuseLeaving(Instant);
+    bool prefill(Flow&, Instant);
     void dropSource(Flow&);
+    void dropPlace(Flow&);
+    std::optional<ReplicaTable::Choice> chooseForRun(Flow&, Instant);
+    [[nodiscard]] Instant inTimeUntil(const Flow&) const;
     void resendOrFail(Flow&, bool mayHaveRun, const std::string& why, Instant);
     [[nodiscard]] bool mayRunAgain(const Flow&) const;
     void endCall(Flow&, CallOutcome, Instant);
@@ -126,6 +107,10 @@
     std::shared_ptr<const RouteTable> m_table;
     bool m_isConfirmed = false;
     Instant m_documentAt;
+    PlaceQueue m_queue;
+    bool m_mayAdmit = false; ///< Something has changed for those who wait.
+    Instant m_admitAt = Instant::max(); ///< When a replica that was full is asked again.
+    std::map<std::string, Duration> m_longestPatience; ///< By route: what a caller's first attempt brings.
     std::unordered_map<RequestId, Flow> m_flows;
     std::set<std::pair<Instant, RequestId>> m_wakes;
     Effects m_effects;
--- /dev/null
+++ b/src/request/ForwardPlaces.cpp
@@ -0,0 +1,187 @@
+/** \file
+ * The part of ForwardLogic that is about engines: a place at a decode replica first, then the prompt's prefill, then the run.
+ */
+#include "request/ForwardLogic.h"
+
+#include <algorithm>
+
+namespace wrenhinge {
+
+using namespace forward;
+
+namespace {
+
+    /// A place is set aside for at most this long: several times the longest prefill with its queue, so that it does not lapse
+    /// while the prompt is read, and short enough that one which a lost gateway has taken is soon free again.
+    constexpr Duration placeValidFor = 1500ms;
+    /// A replica that had no room is asked again after this long. Twelve replicas of a dozen streams of 4 s end one every 30 ms.
+    constexpr Duration askFullAgainAfter = 40ms;
+    /// From the place to the first event, beside the prefill: transfer, the first tokens, the ways between.
+    constexpr Duration afterPrefill = 120ms;
+    constexpr Duration usualPrefill = 130ms;
+    /// When to come back after a surge was too much: spread over these, so that the return is no second surge.
+    constexpr Duration soonestReturn = 1200ms;
+    constexpr Duration latestReturn = 3000ms;
+
+} // namespace
+
+// --- Places -----------------------------------------------------------------------------------------------------
+
+/// \returns false if the service's replicas set nothing aside.
+bool ForwardLogic::waitForPlace(Flow& flow, Instant now)
+{
+    const auto* rule = engineRule(flow);
+    if (!rule || rule->engine.placeHold <= Duration::zero() || !flow.ask.promptTokens)
+        return false;
+    // Without any decode replica there is nothing to wait for.
+    if (!m_replicas.choose(needOf(flow), {}, now))
+        return false;
+    flow.stage = Flow::Stage::Waiting;
+    flow.waiter = PlaceQueue::makeWaiter(flow.id, flow.route->rank, flow.arrivedAt, inTimeUntil(flow), now);
+    m_queue.add(flow.waiter);
+    m_mayAdmit = true;
+    return true;
+}
+
+/// The latest moment for a place that still lets the first event meet the target. A caller that was refused and has come back
+/// counts from its first attempt: it brings less patience than others on its route.
+Instant ForwardLogic::inTimeUntil(const Flow& flow) const
+{
+    auto spent = m_longestPatience.at(flow.route->name) - (flow.endsAt - flow.arrivedAt);
+    auto prefill = fromSeconds(m_replicas.meanSeconds(flow.service, UpstreamKind::Prefill));
+    return flow.arrivedAt - spent + flow.route->target - afterPrefill - std::max(prefill, usualPrefill);
+}
+
+void ForwardLogic::admitWaiting(Instant now)
+{
+    for (const auto& id : m_queue.inOrder(now)) {
+        auto& flow = m_flows.at(id);
+        auto need = needOf(flow);
+        need.skipsFull = true;
+        if (auto choice = m_replicas.choose(need, {}, now)) {
+            m_queue.remove(id);
+            takePlace(flow, *choice, now);
+        }
+    }
+    m_admitAt = m_queue.size() ? now + askFullAgainAfter : Instant::max();
+}
+
+void ForwardLogic::takePlace(Flow& flow, const ReplicaTable::Choice& choice, Instant now)
+{
+    flow.stage = Flow::Stage::TakingPlace;
+    startCall(flow, choice, now);
+    auto validFor = std::min(engineRule(flow)->engine.placeHold, placeValidFor);
+    m_effects.push_back(TakePlace { flow.id, flow.attempt, choice.id, choice.address, tokensOf(flow), validFor });
+    scheduleCheck(flow);
+}
+
+void ForwardLogic::on(const PlaceTaken& event, Instant now)
+{
+    auto* flow = current(event.id, event.attempt);
+    if (!flow)
+        return;
+    endCall(*flow, CallOutcome::Abandoned, now);
+    m_replicas.reserve(flow->replica, tokensOf(*flow));
+    flow->place = Place { flow->replica, flow->replicaAddress, event.place };
+    if (!prefill(*flow, now))
+        runOrFail(*flow, now);
+}
+
+void ForwardLogic::on(const PlaceRefused& event, Instant now)
+{
+    auto* flow = current(event.id, event.attempt);
+    if (!flow)
+        return;
+    endCall(*flow, event.wasReached ? CallOutcome::Abandoned : CallOutcome::Unreachable, now);
+    m_replicas.noteFull(flow->replica, now + askFullAgainAfter);
+    flow->stage = Flow::Stage::Waiting;
+    m_queue.add(flow->waiter);
+    m_mayAdmit = true;
+}
+
+void ForwardLogic::refuseLeaving(Instant now)
+{
+    for (const auto& id : m_queue.takeLeaving(now)) {
+        auto& flow = m_flows.at(id);
+        refuse(flow, ResultCode::Overloaded, "no decode replica has room in time", now);
+    }
+}
+
+void ForwardLogic::dropPlace(Flow& flow)
+{
+    auto place = std::exchange(flow.place, std::nullopt);
+    if (!place)
+        return;
+    m_replicas.release(place->replica, tokensOf(flow));
+    m_effects.push_back(DropPlace { std::move(*place) });
+}
+
+/// Where the request runs: at its place, if that replica still takes work.
+std::optional<ReplicaTable::Choice> ForwardLogic::chooseForRun(Flow& flow, Instant now)
+{
+    if (flow.source && flow.sourceEndsAt <= now)
+        dropSource(flow);
+    if (flow.place && m_replicas.isReady(flow.place->replica))
+        return ReplicaTable::Choice { flow.place->replica, flow.place->address };
+    dropPlace(flow);
+    auto need = needOf(flow);
+    if (flow.source)
+        need.nearTo = m_replicas.zoneOf(flow.source->replica);
+    return m_replicas.choose(need, flow.tried, now);
+}
+
+// --- Prefill ----------------------------------------------------------------------------------------------------
+
+/// Has a prefill replica read the prompt. Decode replicas read at half the speed, in small pieces between the tokens of the
+/// streams that run there, and hold those up: with prompts of 5,000 tokens at 13 a second over 7 decode replicas the first
+/// event came after 1.8 s (median) when they read all prompts themselves, against a target of 0.9 s.
+bool ForwardLogic::prefill(Flow& flow, Instant now)
+{
+    const auto* rule = engineRule(flow);
+    if (!rule || rule->engine.promptHold <= Duration::zero() || !flow.ask.promptTokens)
+        return false;
+    ReplicaTable::Need need;
+    need.service = flow.service;
+    need.kind = UpstreamKind::Prefill;
+    need.tokens = flow.ask.promptTokens;
+    need.cacheTokens = rule->engine.cacheTokens;
+    auto choice = m_replicas.choose(need, flow.tried, now);
+    if (!choice)
+        return false;
+    flow.stage = Flow::Stage::Prefilling;
+    startCall(flow, *choice, now);
+    m_effects.push_back(
+        Send { flow.id, flow.attempt, choice->id, choice->address, flow.endsAt - now, std::nullopt, true, std::nullopt, {} });
+    scheduleCheck(flow);
+    return true;
+}
+
+void ForwardLogic::on(const PromptRead& event, Instant now)
+{
+    auto* flow = current(event.id, event.attempt);
+    if (!flow)
+        return;
+    endCall(*flow, CallOutcome::Served, now);
+    m_effects.push_back(Note { EventCode::PrefillFinished, flow->id, flow->replica + " after " + std::to_string((now - flow->sentAt) / 1ms) + " ms" });
+    flow->source = PromptSource { flow->replica, flow->replicaAddress, event.handle };
+    flow->sourceEndsAt = now + engineRule(*flow)->engine.promptHold;
+    runOrFail(*flow, now);
+}
+
+/// Without a prefill the decode replica reads the prompt itself: slower, but no resend is spent on a second prefill.
+void ForwardLogic::on(const PromptNotRead& event, Instant now)
+{
+    auto* flow = current(event.id, event.attempt);
+    if (!flow)
+        return;
+    endCall(*flow, CallOutcome::Refused, now);
+    runOrFail(*flow, now);
+}
+
+void ForwardLogic::dropSource(Flow& flow)
+{
+    if (auto source = std::exchange(flow.source, std::nullopt))
+        m_effects.push_back(FreePrompt { std::move(*source) });
+}
+
+} // namespace wrenhinge
--- a/src/request/ReplicaTable.cpp
+++ b/src/request/ReplicaTable.cpp
@@ -67,6 +67,8 @@
         if (!fits || tried.contains(id))
             continue;
         const auto& load = m_loads[id];
+        if (need.skipsFull && load.fullUntil > now)
+            continue;
         bool isDoubtful = this->isDoubtful(entry, load, now);
         // Gateways that see the same idle replicas must not all take the first: a spread below a tenth breaks ties.
         double cost = costOf(entry, load, need) * std::uniform_real_distribution<double>(1, 1.1)(m_random);
@@ -90,9 +92,8 @@
 
 void ReplicaTable::end(const std::string& id, std::uint32_t tokens, CallOutcome outcome, Duration took, Instant now)
 {
+    release(id, tokens);
     auto& load = m_loads[id];
-    load.calls -= load.calls ? 1 : 0;
-    load.tokens -= std::min<std::uint64_t>(load.tokens, tokens);
     switch (outcome) {
     case CallOutcome::Served:
         load.meanSeconds += (toSeconds(took) - load.meanSeconds) * (load.meanSeconds > 0 ? newest : 1);
@@ -115,13 +116,26 @@
         m_loads.erase(id);
 }
 
-double ReplicaTable::meanSeconds(const std::string& service) const
+void ReplicaTable::release(const std::string& id, std::uint32_t tokens)
+{
+    auto& load = m_loads[id];
+    load.calls -= load.calls ? 1 : 0;
+    load.tokens -= std::min<std::uint64_t>(load.tokens, tokens);
+}
+
+bool ReplicaTable::isReady(const std::string& id) const
+{
+    auto it = m_registry.entries().find(id);
+    return it != m_registry.entries().end() && it->second.announcement.state == ReplicaState::Ready;
+}
+
+double ReplicaTable::meanSeconds(const std::string& service, UpstreamKind kind) const
 {
     double sum = 0;
     double n = 0;
     for (const auto& [id, entry] : m_registry.entries()) {
         auto it = m_loads.find(id);
-        if (entry.announcement.service != service || it == m_loads.end() || it->second.meanSeconds <= 0)
+        if (entry.announcement.service != service || entry.announcement.kind != kind || it == m_loads.end() || it->second.meanSeconds <= 0)
             continue;
         sum += it->second.meanSeconds;
         ++n;
--- a/src/request/ReplicaTable.h
+++ b/src/request/ReplicaTable.h
@@ -38,6 +38,7 @@
         UpstreamKind kind = UpstreamKind::Plain;
         std::uint32_t tokens = 0; ///< What the request puts into an engine's memory.
         std::uint64_t cacheTokens = 0; ///< What a replica's memory holds; zero: no engine.
+        bool skipsFull = false; ///< Rather none than one that has no room now.
         std::string nearTo; ///< The zone to prefer; empty: the gateway's own.
     };
     struct Load {
@@ -47,6 +48,7 @@
         double failing = 0; ///< Share of the last calls that failed.
         Instant avoidUntil;
         Duration avoidFor {};
+        Instant fullUntil; ///< It refused to set a place aside, and is not asked again before.
     };
 
     ReplicaTable(std::string zone, std::uint64_t seed)
@@ -66,10 +68,17 @@
     [[nodiscard]] std::string zoneOf(const std::string& id) const;
     void begin(const std::string& id, std::uint32_t tokens);
     void end(const std::string& id, std::uint32_t tokens, CallOutcome, Duration took, Instant now);
+    /// Counts a place that was set aside as a call, until it is used or given back.
+    void reserve(const std::string& id, std::uint32_t tokens) { begin(id, tokens); }
+    void release(const std::string& id, std::uint32_t tokens);
+    /// The replica refused to set a place aside.
+    void noteFull(const std::string& id, Instant until) { m_loads[id].fullUntil = until; }
+    void noteRoom(const std::string& id) { m_loads[id].fullUntil = {}; }
+    [[nodiscard]] bool isReady(const std::string& id) const;
     /// A controller was heard of: silence of a replica means something again.
     void heardController(Instant now) { m_controllerHeardAt = now; }
     /// Mean time of calls to the service, over its replicas; zero if nothing is known.
-    [[nodiscard]] double meanSeconds(const std::string& service) const;
+    [[nodiscard]] double meanSeconds(const std::string& service, UpstreamKind) const;
 
 private:
     [[nodiscard]] double costOf(const ReplicaRegistry::Entry&, const Load&, const Need&) const;
--- a/src/version/RoutingDocument.h
+++ b/src/version/RoutingDocument.h
@@ -48,6 +48,7 @@
 struct EngineFacts {
     std::uint32_t slots = 0;
     std::uint64_t cacheTokens = 0; ///< Tokens that the KV memory of one replica holds.
+    Duration placeHold {}; ///< The longest that a decode replica sets a place aside; zero: it doesn't.
     Duration promptHold {}; ///< A prefill replica keeps a prompt's KV cache for this long.
 };
 
