--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -273,7 +273,9 @@
     void finish()
     {
         onGone = nullptr;
-        if (!m_keepAlive) {
+        // The head of a long answer may have left before the server began to close; kept open after it, the connection would
+        // bring another request at a time when nobody can answer it any more.
+        if (!m_keepAlive || m_server.m_isClosed) {
             m_closesAfterWrite = true;
             m_state = State::Idle;
             if (!m_isWriting)
@@ -391,7 +393,7 @@
 {
     ErrorCode ignored;
     m_acceptor.close(ignored);
-    m_isClosing = true;
+    m_isClosing = m_isClosed = true;
     auto connections = m_connections;
     for (const auto& connection : connections) {
         if (connection->isIdle())
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -80,6 +80,7 @@
     Tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Connection>> m_connections;
     bool m_isClosing = false;
+    bool m_isClosed = false; ///< No connection outlives its request in progress.
 };
 
 } // namespace wrenhinge
