Callers refused in a surge are told to come back when it may be over

Cause: a caller refused for want of a place came back within a second, into the same surge, and was refused again. Change: Retry-After of such refusals is spread over 2.5 to 4.5 s, at most a third of what the caller has left.

--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -365,9 +365,12 @@
 
 void ForwardLogic::refuse(Flow& flow, ResultCode code, const std::string& why, Instant now)
 {
-    Error error { code, why, std::nullopt };
-    if (httpStatusOf(code) == 503)
-        error.retryAfter = retryAfter(flow, now);
+    refuseUntil(flow, code, why, httpStatusOf(code) == 503 ? std::optional(retryAfter(flow, now)) : std::nullopt);
+}
+
+void ForwardLogic::refuseUntil(Flow& flow, ResultCode code, const std::string& why, std::optional<Duration> retryAfter)
+{
+    Error error { code, why, retryAfter };
     bool hasFailed = flow.runs > 0;
     m_effects.push_back(Note { hasFailed ? EventCode::RequestFailed : EventCode::RequestRefused, flow.id, std::string(nameOf(code)) + ": " + why });
     m_effects.push_back(Refuse { flow.id, std::move(error) });
--- a/src/request/ForwardLogic.h
+++ b/src/request/ForwardLogic.h
@@ -79,6 +79,7 @@
     void admitWaiting(Instant);
     void takePlace(Flow&, const ReplicaTable::Choice&, Instant);
     void refuseLeaving(Instant);
+    [[nodiscard]] Duration returnAfterSurge(const Flow&, Instant);
     bool prefill(Flow&, Instant);
     void dropSource(Flow&);
     void dropPlace(Flow&);
@@ -90,6 +91,7 @@
     void passEvents(Flow&, std::string bytes, Instant);
     void endStream(Flow&, Instant);
     void refuse(Flow&, ResultCode, const std::string& why, Instant);
+    void refuseUntil(Flow&, ResultCode, const std::string& why, std::optional<Duration> retryAfter);
     void giveUp(Flow&, Instant);
     void checkProgress(Flow&, Instant);
     void scheduleCheck(Flow&);
--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/ForwardPlaces.cpp
@@ -20,8 +20,8 @@
     constexpr Duration afterPrefill = 120ms;
     constexpr Duration usualPrefill = 130ms;
     /// When to come back after a surge was too much: spread over these, so that the return is no second surge.
-    constexpr Duration soonestReturn = 1200ms;
-    constexpr Duration latestReturn = 3000ms;
+    constexpr Duration soonestReturn = 2500ms;
+    constexpr Duration latestReturn = 4500ms;
 
 } // namespace
 
@@ -103,10 +103,16 @@
 {
     for (const auto& id : m_queue.takeLeaving(now)) {
         auto& flow = m_flows.at(id);
-        refuse(flow, ResultCode::Overloaded, "no decode replica has room in time", now);
+        refuseUntil(flow, ResultCode::Overloaded, "no decode replica has room in time", returnAfterSurge(flow, now));
     }
 }
 
+Duration ForwardLogic::returnAfterSurge(const Flow& flow, Instant now)
+{
+    auto spread = std::uniform_int_distribution<std::int64_t>(soonestReturn.count(), latestReturn.count())(m_random);
+    return std::min<Duration>(Duration(spread), (flow.endsAt - now) * 10 / 31);
+}
+
 void ForwardLogic::dropPlace(Flow& flow)
 {
     auto place = std::exchange(flow.place, std::nullopt);
