--- a/src/request/ForwardEvents.h
+++ b/src/request/ForwardEvents.h
@@ -22,6 +22,7 @@
     Duration readFor {}; ///< How long its reading took: already gone of the patience.
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; ///< At most.
+    std::optional<std::uint32_t> expectedTokens; ///< The caller's estimate of the output.
     std::optional<std::uint64_t> resumeAfter; ///< The caller itself goes on with a stream after this event.
 };
 
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -24,6 +24,9 @@
     constexpr Duration shortestReturn = 40ms;
     constexpr Duration longestReturn = 1s;
 
+    /// Without an estimate of its caller an answer is taken to be this part of what it may be.
+    constexpr std::uint32_t usualPartOfOutput = 2;
+
     bool isSuccess(int status) { return status >= 200 && status < 300; }
 
 } // namespace
@@ -120,6 +123,9 @@
     flow.service = pickService(*flow.route);
     flow.lastEvent = event.ask.resumeAfter;
     m_budget.countRequest(flow.service, now);
+    m_effects.push_back(Note { EventCode::RequestReceived, flow.id,
+        flow.route->name + " document " + std::to_string(m_table->version()) + " tokens " + std::to_string(event.ask.promptTokens) + "+"
+            + std::to_string(event.ask.outputTokens) + " left " + std::to_string((flow.endsAt - now) / 1ms) + " ms" });
     auto& longest = m_longestPatience[flow.route->name];
     longest = std::max(longest, flow.endsAt - flow.arrivedAt);
     if (!waitForPlace(flow, now) && !prefill(flow, now))
@@ -147,7 +153,14 @@
     internalError("a weighted choice beyond the sum of its weights");
 }
 
-std::uint32_t ForwardLogic::tokensOf(const Flow& flow) const { return flow.ask.promptTokens + flow.ask.outputTokens; }
+/// What the request is taken to need of an engine's memory: its prompt and the output that its caller expects. Reserving the
+/// most that it may generate (2,080 tokens, where answers have 870 on average) left a fifth of the memory unused in a surge,
+/// and reserving half of what is expected had running streams preempted and their prompts read anew.
+std::uint32_t ForwardLogic::tokensOf(const Flow& flow) const
+{
+    const auto& ask = flow.ask;
+    return ask.promptTokens + std::min(ask.expectedTokens.value_or(ask.outputTokens / usualPartOfOutput), ask.outputTokens);
+}
 
 /// The rule of the flow's service if that has engines, else nullptr.
 const ServiceRule* ForwardLogic::engineRule(const Flow& flow) const
--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/ForwardPlaces.cpp
@@ -150,6 +150,8 @@
     need.service = flow.service;
     need.kind = UpstreamKind::Prefill;
     need.tokens = flow.ask.promptTokens;
+    if (flow.place)
+        need.nearTo = m_replicas.zoneOf(flow.place->replica);
     need.cacheTokens = rule->engine.cacheTokens;
     auto choice = m_replicas.choose(need, flow.tried, now);
     if (!choice)
