--- a/src/process/EventLog.cpp
+++ b/src/process/EventLog.cpp
@@ -44,7 +44,7 @@
     log4cplus::SharedAppenderPtr makeAppender(const LogSettings& settings)
     {
         if (settings.file.empty())
-            return log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true));
+            return log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(!settings.toStandardOutput, true));
         return log4cplus::SharedAppenderPtr(new log4cplus::FileAppender(settings.file, std::ios_base::app));
     }
 
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -104,6 +104,7 @@
     {
         node.optional("level", log.level, parseLevel);
         node.optional("file", log.file, parseText);
+        node.optional("to-standard-output", log.toStandardOutput, parseYesNo);
         node.refuseUnknown();
     }
 
--- a/src/process/Settings.h
+++ b/src/process/Settings.h
@@ -17,7 +17,8 @@
 
 struct LogSettings {
     std::string level = "info"; ///< trace, debug, info, warn, error.
-    std::string file; ///< Empty: standard error.
+    std::string file; ///< Empty: standard error, or standard output.
+    bool toStandardOutput = false;
 };
 
 struct UpstreamSettings {
--- a/src/request/ForwardFlow.h
+++ b/src/request/ForwardFlow.h
@@ -36,6 +36,7 @@
     std::string replica;
     std::string replicaAddress;
     Instant sentAt;
+    std::uint32_t placesAsked = 0;
     std::uint32_t sends = 0;
     std::uint32_t runs = 0; ///< Sends that ran or may have.
     std::set<std::string> tried;
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -216,13 +216,24 @@
     flow.body.clear();
     flow.splitter.clear();
     m_replicas.begin(flow.replica, tokensOf(flow));
+    noteCall(flow);
+}
+
+/// One line for each call but those that ask for a place again: in a surge there are dozens, and they decide nothing new.
+void ForwardLogic::noteCall(Flow& flow)
+{
+    bool isAskingAgain = flow.stage == Flow::Stage::TakingPlace && flow.placesAsked++;
+    if (isAskingAgain)
+        return;
     const auto& load = m_replicas.loads().at(flow.replica);
     auto code = flow.stage == Flow::Stage::Running ? EventCode::RequestPlaced
         : flow.stage == Flow::Stage::Prefilling    ? EventCode::PrefillStarted
                                                    : EventCode::PlaceAsked;
-    m_effects.push_back(Note { code, flow.id,
-        flow.replica + " attempt " + std::to_string(flow.attempt.value()) + " calls " + std::to_string(load.calls) + " tokens "
-            + std::to_string(load.tokens) });
+    auto text = flow.replica + " attempt " + std::to_string(flow.attempt.value()) + " calls " + std::to_string(load.calls) + " tokens "
+        + std::to_string(load.tokens);
+    if (flow.stage == Flow::Stage::Running && flow.placesAsked)
+        text += " places asked " + std::to_string(flow.placesAsked);
+    m_effects.push_back(Note { code, flow.id, std::move(text) });
 }
 
 // --- Answers ----------------------------------------------------------------------------------------------------
@@ -310,6 +321,8 @@
         return resendOrFail(*flow, false, "the stream was not taken over", now);
     if (isFailure && mayRunAgain(*flow) && flow->sends < sendLimit && m_budget.take(flow->service, now) && send(*flow, now))
         return;
+    m_effects.push_back(Note { EventCode::RequestFinished, flow->id,
+        std::to_string(facts.status) + " after " + std::to_string((now - flow->arrivedAt) / 1ms) + " ms" });
     m_effects.push_back(Reply { flow->id, facts.status, std::move(flow->headers), std::move(flow->body) });
     finish(*flow);
 }
@@ -417,6 +430,8 @@
     if (it == m_flows.end())
         return;
     auto& flow = it->second;
+    m_effects.push_back(
+        Note { EventCode::RequestCancelled, flow.id, "the caller left after " + std::to_string((now - flow.arrivedAt) / 1ms) + " ms" });
     if (flow.isCalling) {
         m_effects.push_back(CancelCall { flow.id, flow.attempt });
         endCall(flow, CallOutcome::Abandoned, now);
--- a/src/request/ForwardLogic.h
+++ b/src/request/ForwardLogic.h
@@ -73,6 +73,7 @@
     Flow* current(const RequestId&, Attempt);
     bool send(Flow&, Instant);
     void startCall(Flow&, const ReplicaTable::Choice&, Instant);
+    void noteCall(Flow&);
     void runOrFail(Flow&, Instant);
     // Places and prefill (ForwardPlaces.cpp).
     bool waitForPlace(Flow&, Instant);
