Operators' pages and metrics of gateways without sidecars; a resend is counted only if it can be made

Cause: such a gateway had no pages: the tool and a scraper found nothing; a resend was taken from the budget before it was known whether another replica was there.

--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -11,10 +11,13 @@
 #include "connection/HttpText.h"
 #include "connection/PeerHub.h"
 #include "connection/UpstreamPool.h"
+#include "process/AdminPages.h"
+#include "process/ForwardMetrics.h"
 #include "process/LogicDriver.h"
 #include "process/Runtime.h"
 #include "request/ForwardLogic.h"
 
+#include <atomic>
 #include <nlohmann/json.hpp>
 #include <unordered_map>
 
@@ -91,6 +94,7 @@
               [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { onRequest(std::move(request), std::move(answer)); })
         , m_ready(m_strand, [this](HttpRequest&&, const std::shared_ptr<HttpAnswer>& answer) { onReadyCheck(*answer); })
         , m_pool(m_strand)
+        , m_pages(settings, runtime, { [this] { return isReady(); }, [this] { return m_hub.peers(); } })
         , m_driver(
               runtime.timers(), [this](forward::Effect& effect) { m_effects.push_back(std::move(effect)); }, forward::Tick {},
               ForwardLogic::Settings {
@@ -100,6 +104,11 @@
 
     Result<nlohmann::json> start()
     {
+        auto admin = m_adminServer.start(m_settings.admin, [this](const AdminRequest& request) { return answerAdmin(request); });
+        if (!admin)
+            return admin.error();
+        m_pages.setAdminAddress(admin.value());
+        m_hub.setAdminAddress(admin.value());
         auto callers = m_callers.listen(m_settings.callers.listen);
         if (!callers)
             return callers.error();
@@ -108,7 +117,7 @@
             return ready.error();
         for (const auto& controller : m_settings.controllers)
             m_hub.dial(controller);
-        return nlohmann::json { { "callers", callers.value() }, { "ready-check", ready.value() } };
+        return nlohmann::json { { "admin", admin.value() }, { "callers", callers.value() }, { "ready-check", ready.value() } };
     }
 
     void drain()
@@ -161,12 +170,13 @@
         post(forward::Submit { id, std::move(words.ask) });
     }
 
-    void onReadyCheck(HttpAnswer& answer)
+    bool isReady() const
     {
-        bool isServing = m_driver.inspect([](const ForwardLogic& logic) { return logic.isServing(currentInstant()); });
-        answer.reply(isServing && !m_isDraining ? 200 : 503, {}, "");
+        return !m_isDraining && m_driver.inspect([](const ForwardLogic& logic) { return logic.isServing(currentInstant()); });
     }
 
+    void onReadyCheck(HttpAnswer& answer) { answer.reply(isReady() ? 200 : 503, {}, ""); }
+
     void onMessage(Message&& message)
     {
         if (const auto* roster = std::get_if<ControllerRoster>(&message)) {
@@ -347,6 +357,8 @@
             answer->breakOff();
     }
 
+    void carry(forward::Finished& finished) { m_metrics.record(finished); }
+
     void carry(forward::ForgetReplica& forget) { m_pool.forget(forget.replica); }
 
     void carry(forward::SetLimits& set)
@@ -367,6 +379,61 @@
         m_runtime.log().write(note);
     }
 
+    // --- Operators ---------------------------------------------------------------------------------------------
+
+    AdminReply answerAdmin(const AdminRequest& request)
+    {
+        if (auto common = m_pages.answer(request))
+            return *common;
+        if (request.path == "/status")
+            return AdminPages::json(status());
+        if (request.path == "/upstreams")
+            return AdminPages::json(upstreams());
+        if (request.path != "/metrics")
+            return AdminPages::notFound(request.path);
+        m_driver.inspect([this](const ForwardLogic& logic) {
+            m_metrics.setGauge("wrenhinge_in_progress", static_cast<double>(logic.requests()));
+            m_metrics.setGauge("wrenhinge_document_version", static_cast<double>(logic.documentVersion()));
+        });
+        return { 200, "text/plain; version=0.0.4", m_metrics.text() };
+    }
+
+    nlohmann::json status()
+    {
+        auto json = m_pages.identity();
+        json["draining"] = m_isDraining.load();
+        m_driver.modify([&json](ForwardLogic& logic) {
+            auto now = currentInstant();
+            json["in_progress"] = logic.requests();
+            json["serving"] = logic.isServing(now);
+            json["document_version"] = logic.documentVersion();
+            json["retry_budget_left"] = logic.retryBudget(now);
+        });
+        return json;
+    }
+
+    /// The replicas as this gateway knows them, in the form that `wrenhinge upstream list` reads.
+    nlohmann::json upstreams() const
+    {
+        return m_driver.inspect([](const ForwardLogic& logic) {
+            auto now = currentInstant();
+            auto list = nlohmann::json::array();
+            for (const auto& [id, entry] : logic.replicas().registry().entries()) {
+                const auto& announcement = entry.announcement;
+                auto found = logic.replicas().loads().find(id);
+                auto load = found == logic.replicas().loads().end() ? ReplicaTable::Load() : found->second;
+                bool isAvoided = load.avoidUntil > now;
+                auto state = announcement.state == ReplicaState::Draining ? "draining" : isAvoided ? "ejected" : "in-use";
+                list.push_back({ { "id", id }, { "service", announcement.service }, { "replica", id }, { "zone", announcement.zone },
+                    { "kind", nameOf(announcement.kind) }, { "state", state }, { "heard_ms", (now - entry.heardAt) / 1ms },
+                    { "failing", load.failing }, { "mean_seconds", load.meanSeconds },
+                    { "load",
+                        { { "slots", announcement.slots }, { "occupied", load.calls }, { "queued", 0 }, { "tokens", load.tokens } } } });
+            }
+            return list;
+        });
+    }
+
     /// Ends an exchange. \returns where its answer goes.
     std::shared_ptr<HttpAnswer> take(const RequestId& id)
     {
@@ -385,11 +452,14 @@
     HttpServer m_callers;
     HttpServer m_ready;
     UpstreamPool m_pool;
+    AdminPages m_pages;
+    ForwardMetrics m_metrics;
     std::vector<forward::Effect> m_effects; ///< Guarded by the driver's lock.
     LogicDriver<ForwardLogic, forward::Event, forward::Effect> m_driver;
     std::unordered_map<RequestId, Exchange> m_exchanges; ///< Only on the strand.
     std::uint64_t m_lastSequence = 0;
-    bool m_isDraining = false;
+    std::atomic<bool> m_isDraining = false;
+    AdminServer m_adminServer; ///< Last: its threads look at everything above.
 };
 
 } // namespace wrenhinge
--- a/src/process/LogicDriver.h
+++ b/src/process/LogicDriver.h
@@ -60,6 +60,13 @@
         return f(m_logic);
     }
 
+    /// Reads the logic by a call that may tidy up its own memory; nothing that it decides may change.
+    template <typename F> auto modify(F f)
+    {
+        std::lock_guard lock(m_mutex);
+        return f(m_logic);
+    }
+
 private:
     mutable std::mutex m_mutex;
     TimerService& m_timers;
--- a/src/request/ForwardEvents.h
+++ b/src/request/ForwardEvents.h
@@ -181,6 +181,14 @@
 struct BreakStream {
     RequestId id;
 };
+/// The request has its final answer, or its caller has gone (Cancelled). Exactly one for each Submit.
+struct Finished {
+    std::string route; ///< Empty: none was found.
+    ResultCode code = ResultCode::Ok;
+    std::uint32_t sends = 0;
+    std::optional<Duration> untilFirst; ///< From the request to the first byte of its answer.
+    Duration waitedForPlace {};
+};
 /// Kept connections to this replica are of no use any more.
 struct ForgetReplica {
     std::string replica;
@@ -190,6 +198,6 @@
     CallerLimits limits;
 };
 using Effect = std::variant<Send, CancelCall, TakePlace, DropPlace, FreePrompt, Reply, Refuse, BeginStream, StreamBytes, EndStream,
-    BreakStream, ForgetReplica, SetLimits, Note>;
+    BreakStream, Finished, ForgetReplica, SetLimits, Note>;
 
 } // namespace wrenhinge::forward
--- a/src/request/ForwardFlow.h
+++ b/src/request/ForwardFlow.h
@@ -37,7 +37,10 @@
     std::string replicaAddress;
     Instant sentAt;
     std::uint32_t placesAsked = 0;
+    Duration waitedForPlace {};
+    std::optional<Duration> untilFirst;
     std::uint32_t sends = 0;
+    std::uint32_t refusals = 0; ///< Sends that a replica answered as not run.
     std::uint32_t runs = 0; ///< Sends that ran or may have.
     std::set<std::string> tried;
 
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -281,6 +281,7 @@
             continue;
         if (!flow.hasBegun) {
             flow.hasBegun = true;
+            flow.untilFirst = now - flow.arrivedAt;
             m_effects.push_back(
                 Note { EventCode::FirstByte, flow.id, flow.replica + " after " + std::to_string((now - flow.sentAt) / 1ms) + " ms" });
             m_effects.push_back(BeginStream { flow.id, flow.facts.status, flow.headers });
@@ -307,6 +308,7 @@
         if (facts.isOtherReplica)
             on(Withdrawn { flow->replica }, now);
         endCall(*flow, CallOutcome::Refused, now);
+        ++flow->refusals;
         return resendOrFail(*flow, false, "the replica did not run the request", now);
     }
     if (isSuccess(facts.status) && !facts.isGenuine) {
@@ -320,12 +322,13 @@
     ++flow->runs;
     if (flow->hasBegun)
         return resendOrFail(*flow, false, "the stream was not taken over", now);
-    if (isFailure && mayRunAgain(*flow) && flow->sends < sendLimit && m_budget.take(flow->service, now) && send(*flow, now))
+    if (isFailure && resend(*flow, now))
         return;
     m_effects.push_back(Note { EventCode::RequestFinished, flow->id,
         std::to_string(facts.status) + " after " + std::to_string((now - flow->arrivedAt) / 1ms) + " ms" });
     m_effects.push_back(Reply { flow->id, facts.status, std::move(flow->headers), std::move(flow->body) });
-    finish(*flow);
+    flow->untilFirst = now - flow->arrivedAt;
+    finish(*flow, isFailure ? ResultCode::UpstreamFailed : ResultCode::Ok);
 }
 
 void ForwardLogic::endStream(Flow& flow, Instant now)
@@ -337,7 +340,7 @@
     m_effects.push_back(
         Note { EventCode::RequestFinished, flow.id, "stream after " + std::to_string((now - flow.arrivedAt) / 1ms) + " ms" });
     m_effects.push_back(EndStream { flow.id });
-    finish(flow);
+    finish(flow, ResultCode::Ok);
 }
 
 void ForwardLogic::on(const CallFailed& event, Instant now)
@@ -368,21 +371,29 @@
     return flow.runs < flow.route->maxAttempts;
 }
 
+/// Sends the request once more if its route, the number of sends, the replicas and the budget allow it.
+bool ForwardLogic::resend(Flow& flow, Instant now)
+{
+    bool isPossible = mayRunAgain(flow) && flow.sends < sendLimit && m_replicas.choose(needOf(flow), flow.tried, now);
+    return isPossible && m_budget.take(flow.service, now) && send(flow, now);
+}
+
 void ForwardLogic::resendOrFail(Flow& flow, bool mayHaveRun, const std::string& why, Instant now)
 {
     flow.runs += mayHaveRun ? 1 : 0;
     if (flow.endsAt <= now)
         return giveUp(flow, now);
-    if (mayRunAgain(flow) && flow.sends < sendLimit && m_budget.take(flow.service, now) && send(flow, now)) {
+    if (resend(flow, now)) {
         m_effects.push_back(Note { EventCode::RequestRetried, flow.id, why });
         return;
     }
     if (flow.hasBegun) {
         m_effects.push_back(Note { EventCode::RequestFailed, flow.id, why });
         m_effects.push_back(BreakStream { flow.id });
-        return finish(flow);
+        return finish(flow, ResultCode::UpstreamFailed);
     }
-    refuse(flow, flow.runs ? ResultCode::UpstreamFailed : ResultCode::Overloaded, why, now);
+    auto notRun = flow.refusals ? ResultCode::Overloaded : ResultCode::NoUpstream;
+    refuse(flow, flow.runs ? ResultCode::UpstreamFailed : notRun, why, now);
 }
 
 // --- Ends -------------------------------------------------------------------------------------------------------
@@ -404,7 +415,7 @@
     m_effects.push_back(
         Note { hasFailed ? EventCode::RequestFailed : EventCode::RequestRefused, flow.id, std::string(nameOf(code)) + ": " + why });
     m_effects.push_back(Refuse { flow.id, std::move(error) });
-    finish(flow);
+    finish(flow, code);
 }
 
 void ForwardLogic::giveUp(Flow& flow, Instant now)
@@ -417,7 +428,7 @@
     if (flow.hasBegun) {
         m_effects.push_back(Note { EventCode::RequestFailed, flow.id, "the stream did not end in time" });
         m_effects.push_back(BreakStream { flow.id });
-        return finish(flow);
+        return finish(flow, ResultCode::TimedOut);
     }
     bool wasRunning = wasCalling && flow.stage == Flow::Stage::Running;
     bool mayHaveRun = flow.runs || wasRunning;
@@ -437,11 +448,12 @@
         m_effects.push_back(CancelCall { flow.id, flow.attempt });
         endCall(flow, CallOutcome::Abandoned, now);
     }
-    finish(flow);
+    finish(flow, ResultCode::Cancelled);
 }
 
-void ForwardLogic::finish(Flow& flow)
+void ForwardLogic::finish(Flow& flow, ResultCode code)
 {
+    m_effects.push_back(Finished { flow.route ? flow.route->name : "", code, flow.sends, flow.untilFirst, flow.waitedForPlace });
     dropSource(flow);
     dropPlace(flow);
     auto id = flow.id;
@@ -504,10 +516,9 @@
         endCall(flow, CallOutcome::Failed, now);
         return runOrFail(flow, now);
     }
-    bool hasAnother = m_replicas.choose(needOf(flow), flow.tried, now).has_value();
-    bool isLate = flow.isCalling && flow.stage == Flow::Stage::Running && flow.runs + 1 < flow.route->maxAttempts && flow.sends < sendLimit
-        && hasAnother;
-    if (!isLate || !m_budget.take(flow.service, now)) {
+    bool mayGoOn = flow.isCalling && flow.stage == Flow::Stage::Running && flow.runs + 1 < flow.route->maxAttempts && flow.sends < sendLimit
+        && m_replicas.choose(needOf(flow), flow.tried, now);
+    if (!mayGoOn || !m_budget.take(flow.service, now)) {
         flow.checkAt = flow.endsAt;
         m_wakes.insert({ flow.checkAt, flow.id });
         return;
--- a/src/request/ForwardLogic.h
+++ b/src/request/ForwardLogic.h
@@ -48,6 +48,8 @@
     [[nodiscard]] bool isServing(Instant now) const;
     [[nodiscard]] std::size_t requests() const { return m_flows.size(); }
     [[nodiscard]] const ReplicaTable& replicas() const { return m_replicas; }
+    /// What may still be sent beyond first sends, by service, in this window.
+    [[nodiscard]] std::map<std::string, double> retryBudget(Instant now) { return m_budget.leftByService(now); }
     [[nodiscard]] std::uint64_t documentVersion() const { return m_table ? m_table->version() : 0; }
 
 private:
@@ -86,6 +88,7 @@
     void dropPlace(Flow&);
     std::optional<ReplicaTable::Choice> chooseForRun(Flow&, Instant);
     [[nodiscard]] Instant inTimeUntil(const Flow&) const;
+    bool resend(Flow&, Instant);
     void resendOrFail(Flow&, bool mayHaveRun, const std::string& why, Instant);
     [[nodiscard]] bool mayRunAgain(const Flow&) const;
     void endCall(Flow&, CallOutcome, Instant);
@@ -96,7 +99,7 @@
     void giveUp(Flow&, Instant);
     void checkProgress(Flow&, Instant);
     void scheduleCheck(Flow&);
-    void finish(Flow&);
+    void finish(Flow&, ResultCode);
     [[nodiscard]] ReplicaTable::Need needOf(const Flow&) const;
     [[nodiscard]] const ServiceRule* engineRule(const Flow&) const;
     [[nodiscard]] std::uint32_t tokensOf(const Flow&) const;
--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/ForwardPlaces.cpp
@@ -82,6 +82,7 @@
         return;
     endCall(*flow, CallOutcome::Abandoned, now);
     m_replicas.reserve(flow->replica, tokensOf(*flow));
+    flow->waitedForPlace = now - flow->arrivedAt;
     flow->place = Place { flow->replica, flow->replicaAddress, event.place };
     if (!prefill(*flow, now))
         runOrFail(*flow, now);
--- a/src/request/SharedRetryBudget.cpp
+++ b/src/request/SharedRetryBudget.cpp
@@ -34,4 +34,12 @@
     return allowance(window) - static_cast<double>(window.resends.size());
 }
 
+std::map<std::string, double> SharedRetryBudget::leftByService(Instant now)
+{
+    std::map<std::string, double> all;
+    for (const auto& [service, window] : m_windows)
+        all[service] = left(service, now);
+    return all;
+}
+
 } // namespace wrenhinge
--- a/src/request/SharedRetryBudget.h
+++ b/src/request/SharedRetryBudget.h
@@ -37,6 +37,7 @@
     bool take(const std::string& service, Instant now);
     /// What may still be sent in this window.
     [[nodiscard]] double left(const std::string& service, Instant now);
+    [[nodiscard]] std::map<std::string, double> leftByService(Instant now);
     void setGateways(std::uint32_t n) { m_gateways = n ? n : 1; }
 
 private:
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -89,7 +89,12 @@
         return id;
     }
 
-    void post(const Event& event) { m_last = m_logic.step(event, now); }
+    void post(const Event& event)
+    {
+        m_last = m_logic.step(event, now);
+        m_finished += did<Finished>().size();
+    }
+    [[nodiscard]] std::size_t finished() const { return m_finished; }
     void wait(Duration d)
     {
         now += d;
@@ -150,6 +155,7 @@
     ForwardLogic m_logic;
     ForwardLogic::Effects m_last;
     std::uint64_t m_sequence = 0;
+    std::size_t m_finished = 0;
 };
 
 } // namespace
@@ -289,6 +295,7 @@
     CHECK((bench.only<CancelCall>().attempt == send.attempt));
     CHECK(httpStatusOf(bench.only<Refuse>().error.code) == 504);
     CHECK(bench.logic().requests() == 0);
+    CHECK(bench.finished() == 1);
 }
 
 TEST_CASE("a replica is told no more time than the caller has left")
@@ -342,6 +349,7 @@
         CHECK((bench.only<CancelCall>().attempt == send.attempt));
     }
     CHECK(bench.logic().requests() == 0);
+    CHECK(bench.finished() == 1);
     for (const auto& [id, load] : bench.logic().replicas().loads())
         CHECK(load.calls == 0);
 }
@@ -469,6 +477,18 @@
     CHECK(bench.did<EndStream>().size() == 1);
 }
 
+TEST_CASE("a request whose replicas can't be reached did not run, and costs no resend when there is no other replica")
+{
+    Bench bench;
+    bench.serve().replica("a");
+    bench.ask("/often/x");
+    auto send = bench.only<Send>();
+    bench.post(CallFailed { send.id, send.attempt, false, "refused" });
+    CHECK(bench.only<Refuse>().error.code == ResultCode::NoUpstream);
+    CHECK(bench.only<Refuse>().error.retryAfter);
+    CHECK(bench.logic().retryBudget(bench.now).at("plain") > 48);
+}
+
 TEST_CASE("a resend that the budget does not allow is not made")
 {
     Bench bench;
