--- a/src/connection/Asio.h
+++ b/src/connection/Asio.h
@@ -23,6 +23,16 @@
 /// socket, which then reads like a clean end; so the answer must be used, or an answer that was cut looks whole.
 ErrorCode endOfStream(Tcp::socket&);
 
+/// Reads some bytes, or reports how the connection has ended if nothing is left to read. The handler is never called from within.
+template <typename Handler> void readSomeOrEnd(Tcp::socket& socket, boost::asio::mutable_buffer buf, Handler handler)
+{
+    if (auto end = endOfStream(socket)) {
+        boost::asio::post(socket.get_executor(), [handler = std::move(handler), end]() mutable { handler(end, 0); });
+        return;
+    }
+    socket.async_read_some(buf, std::move(handler));
+}
+
 /// Whether the connection is open and nothing has come on it. A kept connection on which anything has come is not fit for
 /// another request: what came is its end, or bytes that belong to no request.
 bool isQuiet(Tcp::socket&);
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -169,12 +169,8 @@
         if (m_state == State::Answering && m_input.size() > readAheadLimit)
             return;
         m_isReading = true;
-        if (auto end = endOfStream(m_socket)) {
-            boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), end] { self->received(end, 0); });
-            return;
-        }
-        m_socket.async_read_some(
-            boost::asio::buffer(m_chunk), [self = shared_from_this()](ErrorCode ec, std::size_t n) { self->received(ec, n); });
+        readSomeOrEnd(
+            m_socket, boost::asio::buffer(m_chunk), [self = shared_from_this()](ErrorCode ec, std::size_t n) { self->received(ec, n); });
     }
 
     void received(ErrorCode ec, std::size_t n)
--- a/src/process/ForwardMetrics.cpp
+++ b/src/process/ForwardMetrics.cpp
@@ -2,43 +2,15 @@
 
 namespace wrenhinge {
 
-namespace {
-
-    /// From the shortest time that a network allows to the longest that callers wait, four buckets a decade.
-    constexpr double shortest = 1e-3;
-    constexpr double longest = 100;
-    constexpr unsigned buckets = 20;
-
-    std::string gauge(const std::string& name, double value)
-    {
-        return "# TYPE " + name + " gauge\n" + name + " " + std::to_string(value) + "\n";
-    }
-
-} // namespace
-
-ForwardMetrics::Times ForwardMetrics::makeTimes() { return { boost::histogram::make_histogram(Axis(buckets, shortest, longest)), 0 }; }
-
-ForwardMetrics::ForwardMetrics()
-    : m_untilFirst(makeTimes())
-    , m_waitedForPlace(makeTimes())
-{
-}
-
-void ForwardMetrics::add(Times& times, Duration d)
-{
-    times.histogram(toSeconds(d));
-    times.sum += toSeconds(d);
-}
-
 void ForwardMetrics::record(const forward::Finished& finished)
 {
     std::lock_guard lock(m_mutex);
     ++m_requests[{ finished.route, finished.code }];
     m_resends += finished.sends > 1 ? finished.sends - 1 : 0;
     if (finished.untilFirst)
-        add(m_untilFirst, *finished.untilFirst);
+        m_untilFirst.add(*finished.untilFirst);
     if (finished.waitedForPlace > Duration::zero())
-        add(m_waitedForPlace, finished.waitedForPlace);
+        m_waitedForPlace.add(finished.waitedForPlace);
 }
 
 void ForwardMetrics::setGauge(const std::string& name, double value)
@@ -47,31 +19,20 @@
     m_gauges[name] = value;
 }
 
-void ForwardMetrics::print(std::string& out, const std::string& name, const Times& times)
-{
-    out += "# TYPE " + name + " histogram\n";
-    double count = 0;
-    for (auto&& cell : boost::histogram::indexed(times.histogram, boost::histogram::coverage::all)) {
-        count += static_cast<double>(*cell);
-        bool isLast = cell.index() >= static_cast<int>(buckets);
-        out += name + "_bucket{le=\"" + (isLast ? std::string("+Inf") : std::to_string(cell.bin().upper())) + "\"} "
-            + std::to_string(static_cast<std::uint64_t>(count)) + "\n";
-    }
-    out += name + "_sum " + std::to_string(times.sum) + "\n" + name + "_count " + std::to_string(static_cast<std::uint64_t>(count)) + "\n";
-}
-
 std::string ForwardMetrics::text() const
 {
     std::lock_guard lock(m_mutex);
-    std::string out = "# TYPE wrenhinge_requests_total counter\n";
-    for (const auto& [key, n] : m_requests)
-        out += "wrenhinge_requests_total{route=\"" + key.first + "\",code=\"" + std::string(nameOf(key.second)) + "\"} " + std::to_string(n)
-            + "\n";
-    out += "# TYPE wrenhinge_resends_total counter\nwrenhinge_resends_total " + std::to_string(m_resends) + "\n";
-    print(out, "wrenhinge_first_byte_seconds", m_untilFirst);
-    print(out, "wrenhinge_place_wait_seconds", m_waitedForPlace);
+    std::string out = "# HELP wrenhinge_requests_total Requests by route and how they ended.\n# TYPE wrenhinge_requests_total counter\n";
+    for (const auto& [key, n] : m_requests) {
+        const auto& [route, code] = key;
+        out += "wrenhinge_requests_total{route=\"" + route + "\",code=\"" + std::string(nameOf(code)) + "\"} " + std::to_string(n) + "\n";
+    }
+    out += "# HELP wrenhinge_resends_total Sends after the first.\n# TYPE wrenhinge_resends_total counter\n";
+    out += "wrenhinge_resends_total " + std::to_string(m_resends) + "\n";
+    m_untilFirst.print(out, "wrenhinge_first_byte_seconds", "Time to the first byte of an answer.");
+    m_waitedForPlace.print(out, "wrenhinge_place_wait_seconds", "Time that a request waited for a place at a decode replica.");
     for (const auto& [name, value] : m_gauges)
-        out += gauge(name, value);
+        out += metricGauge(name, value);
     return out;
 }
 
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -1,36 +1,7 @@
 #include "process/Metrics.h"
 
-#include <cstdio>
-
 namespace wrenhinge {
 
-namespace {
-
-    namespace bh = boost::histogram;
-    constexpr unsigned bins = 48;
-
-    std::string number(double x)
-    {
-        char buf[32];
-        std::snprintf(buf, sizeof buf, "%.9g", x);
-        return buf;
-    }
-
-} // namespace
-
-Metrics::Metrics()
-    : m_firstToken { bh::make_histogram(Axis(bins, 1e-3, 60.0)) }
-    , m_tokenInterval { bh::make_histogram(Axis(bins, 1e-4, 1.0)) }
-{
-}
-
-void Metrics::add(Times& times, double seconds)
-{
-    times.histogram(seconds);
-    times.sum += seconds;
-    ++times.count;
-}
-
 void Metrics::record(const RequestSummary& summary)
 {
     std::lock_guard lock(m_mutex);
@@ -46,9 +17,9 @@
     service.retries += summary.retries;
     ++service.endings[summary.code];
     if (summary.tokens)
-        add(m_firstToken, toSeconds(summary.firstToken));
+        m_firstToken.add(summary.firstToken);
     if (summary.tokens > 1)
-        add(m_tokenInterval, toSeconds(summary.tokenInterval));
+        m_tokenInterval.add(summary.tokenInterval);
 }
 
 void Metrics::setGauge(const std::string& name, double value)
@@ -64,18 +35,6 @@
         out += name + "{service=\"" + service + "\"} " + std::to_string(value(counts)) + "\n";
 }
 
-void Metrics::print(std::string& out, const std::string& name, const std::string& help, const Times& times)
-{
-    out += "# HELP " + name + " " + help + "\n# TYPE " + name + " histogram\n";
-    double below = times.histogram.at(-1);
-    for (unsigned i = 0; i < bins; ++i) {
-        below += times.histogram.at(static_cast<int>(i));
-        out += name + "_bucket{le=\"" + number(times.histogram.axis().bin(static_cast<int>(i)).upper()) + "\"} " + number(below) + "\n";
-    }
-    out += name + "_bucket{le=\"+Inf\"} " + std::to_string(times.count) + "\n";
-    out += name + "_sum " + number(times.sum) + "\n" + name + "_count " + std::to_string(times.count) + "\n";
-}
-
 std::string Metrics::text() const
 {
     std::lock_guard lock(m_mutex);
@@ -98,10 +57,10 @@
             out += "wrenhinge_requests_total{service=\"" + service + "\",code=\"" + std::string(nameOf(code)) + "\"} " + std::to_string(n)
                 + "\n";
     }
-    print(out, "wrenhinge_first_token_seconds", "Time to the first token.", m_firstToken);
-    print(out, "wrenhinge_token_interval_seconds", "Mean time between tokens of a request.", m_tokenInterval);
+    m_firstToken.print(out, "wrenhinge_first_token_seconds", "Time to the first token.");
+    m_tokenInterval.print(out, "wrenhinge_token_interval_seconds", "Mean time between tokens of a request.");
     for (const auto& [name, value] : m_gauges)
-        out += "# TYPE " + name + " gauge\n" + name + " " + number(value) + "\n";
+        out += metricGauge(name, value);
     return out;
 }
 
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -5,9 +5,9 @@
  */
 #pragma once
 
+#include "process/TimeHistogram.h"
 #include "request/GatewayEvents.h"
 
-#include <boost/histogram.hpp>
 #include <map>
 #include <mutex>
 #include <string>
@@ -16,8 +16,6 @@
 
 class Metrics {
 public:
-    Metrics();
-
     void record(const RequestSummary&);
     /// A gauge such as requests in progress; the name must be a Prometheus one.
     void setGauge(const std::string& name, double value);
@@ -25,13 +23,6 @@
     [[nodiscard]] std::string text() const;
 
 private:
-    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-    using Histogram = decltype(boost::histogram::make_histogram(std::declval<Axis>()));
-    struct Times {
-        Histogram histogram;
-        double sum = 0;
-        std::uint64_t count = 0;
-    };
     struct ByService {
         std::uint64_t answered = 0;
         std::uint64_t withinTargets = 0;
@@ -42,14 +33,12 @@
         std::uint64_t retries = 0;
         std::map<ResultCode, std::uint64_t> endings;
     };
-    static void add(Times&, double seconds);
-    static void print(std::string& out, const std::string& name, const std::string& help, const Times&);
     template <typename F> void printCounter(std::string& out, const std::string& name, const std::string& help, F value) const;
 
     mutable std::mutex m_mutex;
     std::map<std::string, ByService> m_services;
-    Times m_firstToken;
-    Times m_tokenInterval;
+    TimeHistogram m_firstToken { 1e-3, 60 };
+    TimeHistogram m_tokenInterval { 1e-4, 1 };
     std::map<std::string, double> m_gauges;
 };
 
