Claimed lengths of a message are bounded by its bytes; messages are looked at, not moved from

Cause: the unit tests under sanitizers, run by hand with a random seed, ran out of memory: a message of five bytes may claim 2^32 - 1 elements and msgpack reserves them first. Ruled out: the product's own lifetimes (Runtime's loop outlives its roles).

--- a/src/message/Codec.h
+++ b/src/message/Codec.h
@@ -27,11 +27,18 @@
     return { buf.data(), buf.size() };
 }
 
+/// Messages nest a handful of times; what nests deeper is none.
+inline constexpr std::size_t deepestNesting = 32;
+
 /// The value in these bytes, or nothing.
 template <typename T> std::optional<T> decodeValue(std::string_view bytes)
 {
     try {
-        auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        // A few bytes may claim an array of four thousand million elements, for which msgpack would reserve memory before it
+        // looks for them: a damaged or hostile message then ended the process. No value has more parts than bytes.
+        auto most = bytes.size();
+        msgpack::unpack_limit limit(most, most, most, most, most, deepestNesting);
+        auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
         return handle.get().as<T>();
     } catch (const std::exception&) {
         return std::nullopt;
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -88,7 +88,7 @@
                   [this](PeerId peer) {
                       m_runtime.log().write({ EventCode::PeerDown, {}, toString(peer) });
                   },
-                  [this](PeerId, Message&& message) { onMessage(std::move(message)); }, [this] { return m_runtime.log().stampSend(); },
+                  [this](PeerId, const Message& message) { onMessage(message); }, [this] { return m_runtime.log().stampSend(); },
                   [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); } })
         , m_callers(m_strand,
               [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { onRequest(std::move(request), std::move(answer)); })
@@ -177,17 +177,17 @@
 
     void onReadyCheck(HttpAnswer& answer) { answer.reply(isReady() ? 200 : 503, {}, ""); }
 
-    void onMessage(Message&& message)
+    void onMessage(const Message& message)
     {
         if (const auto* roster = std::get_if<ControllerRoster>(&message)) {
             for (const auto& address : roster->addresses)
                 m_hub.dial(address);
-        } else if (auto* announced = std::get_if<Announced>(&message)) {
-            post(std::move(*announced));
-        } else if (auto* withdrawn = std::get_if<Withdrawn>(&message)) {
-            post(std::move(*withdrawn));
-        } else if (auto* pulse = std::get_if<RegistryPulse>(&message)) {
-            post(std::move(*pulse));
+        } else if (const auto* announced = std::get_if<Announced>(&message)) {
+            post(*announced);
+        } else if (const auto* withdrawn = std::get_if<Withdrawn>(&message)) {
+            post(*withdrawn);
+        } else if (const auto* pulse = std::get_if<RegistryPulse>(&message)) {
+            post(*pulse);
         } else if (const auto* push = std::get_if<DocumentPush>(&message)) {
             onDocument(*push);
         }
--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -35,6 +35,16 @@
         boost::asio::post(m_io, [this] { m_server.closeIdle(); });
     }
     template <typename F> void post(F f) { boost::asio::post(m_io, std::move(f)); }
+    /// Runs `f` on the server's thread and waits for it.
+    template <typename F> void call(F f)
+    {
+        std::promise<void> done;
+        post([&] {
+            f();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
 
 private:
     IoContext m_io { 1 };
@@ -250,6 +260,8 @@
     SUBCASE("by closing") { client.socket().close(); }
     SUBCASE("by a reset") { reset(client.socket()); }
     gone.get_future().wait();
+    // An answer's connection may not outlive the loop that it runs on.
+    server.call([&kept] { kept.reset(); });
 }
 
 TEST_CASE("a connection that was busy when the server closed is not kept for another request")
@@ -273,6 +285,7 @@
     });
     auto text = client.readAll();
     CHECK(text.find("4\r\npart\r\n0\r\n\r\n") != std::string::npos);
+    server.call([&kept] { kept.reset(); });
 }
 
 TEST_CASE("a stream that is broken off does not look complete")
--- a/test/correctness/ProtocolTest.cpp
+++ b/test/correctness/ProtocolTest.cpp
@@ -50,6 +50,18 @@
         CHECK(!decode(good.substr(0, n)));
 }
 
+TEST_CASE("a few bytes that claim a huge value are refused without reserving memory for it")
+{
+    // Symptom: a process ends, out of memory, over one message. Sequence: five bytes announce an array of 2^32 - 1 elements.
+    for (unsigned char type : { 0xdd, 0xdf, 0xdb, 0xc6, 0xc9 }) {
+        std::string bytes(1, static_cast<char>(type));
+        bytes += "\xff\xff\xff\xff";
+        CHECK(!decode(bytes));
+        CHECK(!decode(std::string("\x92\x00", 2) + bytes));
+    }
+    CHECK(!decode(std::string(10000, '\x91')));
+}
+
 TEST_CASE("tokens are counted alike however the stream is cut")
 {
     const std::string stream = "data: {\"a\":1}\n\ndata: {\"a\":2}\n\ndata: {\"x\":\"data: \"}\n\ndata: [DONE]\n\n";
