A decode replica that does not say whether it has a place is left for another one

Change: after 120 ms the question is withdrawn, the replica avoided, and another one asked; the request keeps its turn. Ruled out: the wait in the queue (it ends with the target) and the prefill (0.6 s).

--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -16,6 +16,10 @@
     constexpr double usualTimesBeforeSecondSend = 4;
     /// A resumable stream without an event for this long goes on elsewhere. Callers give up after two seconds at the least.
     constexpr Duration streamStall = 1400ms;
+    /// A replica says within a round trip whether it has a place. One that has gone dark on a kept connection says nothing: its
+    /// callers waited until they gave up, 3.6 s later, though other replicas had room. A few round trips, also over a link that
+    /// loses a packet now and then.
+    constexpr Duration placeAnswerLimit = 120ms;
     /// A prompt of today's longest takes 0.2 s to read, and its place keeps the queue at prefill replicas short: in a surge 99 of
     /// 100 end within 0.43 s. One that takes longer than this is at a replica that has gone dark; its decode replica then reads
     /// the prompt itself, and the first event still comes within the target, not after the 2.7 s that a longer wait cost it.
@@ -471,6 +475,8 @@
         auto byUse = fromSeconds(m_replicas.meanSeconds(flow.service, UpstreamKind::Prefill) * usualTimesBeforeSecondSend);
         checkAt = std::min(checkAt, flow.sentAt + std::max(longestPrefill, byUse));
     }
+    if (flow.isCalling && flow.stage == Flow::Stage::TakingPlace)
+        checkAt = std::min(checkAt, flow.sentAt + placeAnswerLimit);
     bool isIdempotentCall = flow.route->repeatability == Repeatability::Idempotent && !flow.hasHead && flow.isCalling;
     bool isResumable = flow.route->repeatability == Repeatability::Resumable && flow.hasBegun && flow.isCalling;
     if (isIdempotentCall) {
@@ -511,6 +517,10 @@
 /// The call makes no progress: goes on elsewhere if the route and the budget allow it, else waits for its end.
 void ForwardLogic::checkProgress(Flow& flow, Instant now)
 {
+    if (flow.isCalling && flow.stage == Flow::Stage::TakingPlace) {
+        m_effects.push_back(CancelCall { flow.id, flow.attempt });
+        return on(PlaceRefused { flow.id, flow.attempt, false }, now);
+    }
     if (flow.isCalling && flow.stage == Flow::Stage::Prefilling) {
         m_effects.push_back(CancelCall { flow.id, flow.attempt });
         endCall(flow, CallOutcome::Failed, now);
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -399,6 +399,22 @@
     CHECK(!send.isPrefill);
 }
 
+TEST_CASE("a decode replica that does not say whether it has a place is left for another one")
+{
+    // Symptom: a caller gives up after 3.6 s without a word, and its request reached no replica. Sequence: the replica goes dark
+    // while a kept connection to it stays open, and is asked for a place over that. Cause: the question had no time limit.
+    Bench bench;
+    bench.serve().replica("d", UpstreamKind::Decode).replica("e", UpstreamKind::Decode);
+    bench.ask("/stream/x");
+    auto first = bench.only<TakePlace>();
+    bench.wait(130ms);
+    CHECK((bench.only<CancelCall>().attempt == first.attempt));
+    auto second = bench.only<TakePlace>();
+    CHECK(second.replica != first.replica);
+    bench.post(PlaceTaken { second.id, second.attempt, "place-1" });
+    CHECK(bench.only<Send>().replica == second.replica);
+}
+
 TEST_CASE("no place in time: the caller is told when to come back, and nothing was sent")
 {
     Bench bench;
