The end of a stream notes its longest pause

Change: the line that ends a stream says the longest time between two of its events, as the caller got them.

--- a/src/request/ForwardFlow.h
+++ b/src/request/ForwardFlow.h
@@ -61,6 +61,8 @@
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEvent;
     Instant lastEventAt;
+    Instant passedAt; ///< When the caller got its last event, from whichever replica.
+    Duration longestPause {}; ///< Between two events of the stream, as the caller gets them.
 };
 
 } // namespace wrenhinge
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -326,10 +326,12 @@
             m_effects.push_back(
                 Note { EventCode::FirstByte, flow.id, flow.replica + " after " + std::to_string((now - flow.sentAt) / 1ms) + " ms" });
             m_effects.push_back(BeginStream { flow.id, flow.facts.status, flow.headers });
+        } else {
+            flow.longestPause = std::max(flow.longestPause, now - flow.passedAt);
         }
         if (event.id)
             flow.lastEvent = event.id;
-        flow.lastEventAt = now;
+        flow.lastEventAt = flow.passedAt = now;
         m_effects.push_back(StreamBytes { flow.id, std::move(event.bytes) });
     }
     scheduleCheck(flow);
@@ -379,7 +381,8 @@
     if (!isWhole)
         return resendOrFail(flow, true, "the stream ended inside an event", now);
     m_effects.push_back(
-        Note { EventCode::RequestFinished, flow.id, "stream after " + std::to_string((now - flow.arrivedAt) / 1ms) + " ms" });
+        Note { EventCode::RequestFinished, flow.id, "stream after " + std::to_string((now - flow.arrivedAt) / 1ms) + " ms, longest pause "
+                + std::to_string(flow.longestPause / 1ms) + " ms" });
     m_effects.push_back(EndStream { flow.id });
     finish(flow, ResultCode::Ok);
 }
