A further stage change in the same direction does not wait for the first one's effect

Change: only a change back waits for that; one in the same direction follows after 2 s, as the plan counts engines on their way; reports over 3 s are enough, since a gateway reports only after eight answers.

--- a/src/request/StageOrders.cpp
+++ b/src/request/StageOrders.cpp
@@ -110,6 +110,9 @@
     auto change = plan(pool);
     if (!change)
         return;
+    bool isReverse = m_lastDirection.contains(service) && m_lastDirection[service] != change->to;
+    if (isReverse && now < m_reverseFrom[service])
+        return;
     m_reason = describe(pool, *change);
     begin(service, *change, now);
 }
@@ -159,7 +162,9 @@
         return;
     }
     m_step = Step::Idle;
-    m_restUntil[m_service] = now + m_changeTakes + settle;
+    m_restUntil[m_service] = now + nextInDirection;
+    m_reverseFrom[m_service] = now + m_changeTakes + settle;
+    m_lastDirection[m_service] = m_change.to;
     m_effects.push_back(StageChange { m_change.engine.id, m_change.to, m_changeTakes + endsRunningWithin });
     m_effects.push_back(Note { EventCode::StageOrdered, {}, m_reason });
 }
--- a/src/request/StageOrders.h
+++ b/src/request/StageOrders.h
@@ -102,10 +102,13 @@
     static constexpr Duration afterRefusal = 10s;
     /// Each step of an order has an answer within this, or never.
     static constexpr Duration stepLimit = 1s;
-    /// After a change the load needs some seconds to show what it did: most answers take less than these.
+    /// Before a change is taken back the load has this long after it to show what it did: most answers take less.
     static constexpr Duration settle = 5s;
-    /// A plan needs reports over this long before it: most answers take less, so that the mean of their time is near the true one.
-    static constexpr Duration observe = 6s;
+    /// A further change in the same direction waits for this only: the plan counts the engines that are on their way, and the work
+    /// that it goes by does not depend on the split. With the long pause the second of two changes came 16 s after the first.
+    static constexpr Duration nextInDirection = 2s;
+    /// A plan needs reports over this long before it, as the running means begin with the first of them.
+    static constexpr Duration observe = 3s;
     /// A gateway that was not heard of for this long is left out.
     static constexpr Duration reportsCountFor = 3s;
     /// Weight of the newest report in the running means: the last five seconds count.
@@ -147,6 +150,8 @@
     Instant m_mayOrderAt;
     std::map<std::string, std::map<PeerId, Load>> m_loads; ///< By service.
     std::map<std::string, Instant> m_restUntil; ///< By service.
+    std::map<std::string, UpstreamKind> m_lastDirection; ///< By service, of the last change that was accepted.
+    std::map<std::string, Instant> m_reverseFrom; ///< By service: when a change in the other direction may come.
     std::map<std::string, Instant> m_engineRestsUntil;
 
     // The order under way.
