A place is taken for 1.3 times the output that the caller expects

Each costs its caller the target and holds up the streams beside it. Change: a place of 1.3 times the estimate.

--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -29,6 +29,10 @@
     constexpr Duration shortestReturn = 40ms;
     constexpr Duration longestReturn = 1s;
 
+    /// Callers' estimates of an answer's length are right at the median only. Over eight days of both sites, a place of 1.0, 1.3, 1.6
+    /// and 2.0 times the estimate had 12, 8, 5 and 2 streams set back a day and a worth of 0.669, 0.678, 0.673 and 0.672 (three plays
+    /// each); more memory for each means fewer places.
+    constexpr double placePerExpected = 1.3;
     /// Without an estimate of its caller an answer is taken to be this part of what it may be.
     constexpr std::uint32_t usualPartOfOutput = 2;
 
@@ -202,13 +206,14 @@
     internalError("a weighted choice beyond the sum of its weights");
 }
 
-/// What the request is taken to need of an engine's memory: its prompt and the output that its caller expects. Reserving the
-/// most that it may generate (2,080 tokens, where answers have 870 on average) left a fifth of the memory unused in a surge,
-/// and reserving half of what is expected had running streams preempted and their prompts read anew.
+/// What the request is taken to need of an engine's memory: its prompt, and more output than its caller expects. What is not set
+/// aside for an answer may be missing when it grows, and then the engine sets a running stream back and reads its prompt anew,
+/// which holds up all streams there.
 std::uint32_t ForwardLogic::tokensOf(const Flow& flow) const
 {
     const auto& ask = flow.ask;
-    return ask.promptTokens + std::min(ask.expectedTokens.value_or(ask.outputTokens / usualPartOfOutput), ask.outputTokens);
+    auto expected = ask.expectedTokens.value_or(ask.outputTokens / usualPartOfOutput);
+    return ask.promptTokens + std::min(static_cast<std::uint32_t>(placePerExpected * expected), ask.outputTokens);
 }
 
 /// The rule of the flow's service if that has engines, else nullptr.
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -400,7 +400,7 @@
     Bench bench;
     bench.serve().replica("d", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill);
     auto id = bench.ask("/stream/x");
-    CHECK(bench.only<TakePlace>().tokens == 5400);
+    CHECK(bench.only<TakePlace>().tokens == 5000 + 1.3 * 400);
     auto send = bench.run(id);
     CHECK(send.replica == "d");
     CHECK(send.place == "place-1");
