--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    /// An answer that is gathered whole may have this many bytes; today's have a few thousand.
-    constexpr std::size_t answerLimit = 16u << 20;
     /// An idempotent call without an answer is sent to another replica after this share of its target, so that the second
     /// answer can still be in time. It must also have taken four times as long as calls usually do.
     constexpr double shareBeforeSecondSend = 0.55;
@@ -24,11 +22,10 @@
     /// 100 end within 0.43 s. One that takes longer than this is at a replica that has gone dark; its decode replica then reads
     /// the prompt itself, and the first event still comes within the target, not after the 2.7 s that a longer wait cost it.
     constexpr Duration longestPrefill = 600ms;
-    /// A caller heeds a pause of up to a third of what it has left; a quarter leaves room for its way back.
-    constexpr int patiencePartForReturn = 4;
-    constexpr Duration shortestReturn = 40ms;
-    constexpr Duration longestReturn = 1s;
-
+    /// A request that waits for a document may use up this part of its caller's patience; the rest is for a way back.
+    constexpr int patiencePartForHold = 4;
+    /// The patience of a caller that states none, until its route is known.
+    constexpr Duration patienceUnstated = 1s;
     /// Callers' estimates of an answer's length are right at the median only. Over eight days of both sites, a place of 1.0, 1.3, 1.6
     /// and 2.0 times the estimate had 12, 8, 5 and 2 streams set back a day and a worth of 0.669, 0.678, 0.673 and 0.672 (three plays
     /// each); more memory for each means fewer places.
@@ -36,8 +33,6 @@
     /// Without an estimate of its caller an answer is taken to be this part of what it may be.
     constexpr std::uint32_t usualPartOfOutput = 2;
 
-    bool isSuccess(int status) { return status >= 200 && status < 300; }
-
 } // namespace
 
 ForwardLogic::ForwardLogic(Settings settings)
@@ -132,7 +127,7 @@
     flow.id = event.id;
     flow.ask = event.ask;
     flow.arrivedAt = now - event.ask.readFor;
-    flow.endsAt = flow.arrivedAt + event.ask.patience.value_or(longestReturn);
+    flow.endsAt = flow.arrivedAt + event.ask.patience.value_or(patienceUnstated);
     if (isServing(now))
         begin(flow, now);
     else
@@ -142,7 +137,7 @@
 /// A gateway that has just started expects its document at once, so what it is asked meanwhile waits a little.
 void ForwardLogic::holdForDocument(Flow& flow, Instant now)
 {
-    auto until = flow.arrivedAt + std::min(holdForDocumentLimit, (flow.endsAt - flow.arrivedAt) / patiencePartForReturn);
+    auto until = flow.arrivedAt + std::min(holdForDocumentLimit, (flow.endsAt - flow.arrivedAt) / patiencePartForHold);
     if (until <= now)
         return refuse(flow, ResultCode::ConfigUnavailable, "no configuration is known here yet", now);
     flow.checkAt = until;
@@ -187,7 +182,12 @@
 
 void ForwardLogic::runOrFail(Flow& flow, Instant now)
 {
-    if (!send(flow, now))
+    if (send(flow, now))
+        return;
+    auto need = needOf(flow);
+    if (m_replicas.hasReady(need.service, need.kind))
+        refuse(flow, ResultCode::Overloaded, "no replica of the service may be sent another call", now);
+    else
         refuse(flow, ResultCode::NoUpstream, "no replica of the service is known", now);
 }
 
@@ -227,6 +227,7 @@
 {
     ReplicaTable::Need need;
     need.service = flow.service;
+    need.maxCalls = callLimit(flow.table->service(flow.service));
     if (const auto* rule = engineRule(flow)) {
         need.kind = UpstreamKind::Decode;
         need.tokens = tokensOf(flow);
@@ -235,6 +236,15 @@
     return need;
 }
 
+/// Calls in progress that this gateway may have at one replica: its share of the connections that the replica accepts from all.
+/// One beyond them is reset, and a request that may not be repeated is lost with it.
+std::uint32_t ForwardLogic::callLimit(const ServiceRule* rule) const
+{
+    if (!rule || !rule->maxConnections)
+        return 0;
+    return std::max(1u, static_cast<std::uint32_t>(usedConnections * rule->maxConnections / m_budget.gateways()));
+}
+
 bool ForwardLogic::send(Flow& flow, Instant now)
 {
     auto choice = chooseForRun(flow, now);
@@ -298,236 +308,6 @@
     m_effects.push_back(Note { code, flow.id, std::move(text) });
 }
 
-// --- Answers ----------------------------------------------------------------------------------------------------
-
-ForwardLogic::Flow* ForwardLogic::current(const RequestId& id, Attempt attempt)
-{
-    auto it = m_flows.find(id);
-    return it == m_flows.end() || it->second.attempt != attempt || !it->second.isCalling ? nullptr : &it->second;
-}
-
-void ForwardLogic::on(const AnswerHead& event, Instant now)
-{
-    auto* flow = current(event.id, event.attempt);
-    if (!flow)
-        return;
-    flow->hasHead = true;
-    flow->facts = event.facts;
-    flow->headers = event.headers;
-    flow->lastEventAt = now;
-    scheduleCheck(*flow);
-}
-
-void ForwardLogic::on(const AnswerBody& event, Instant now)
-{
-    auto* flow = current(event.id, event.attempt);
-    if (!flow)
-        return;
-    bool isEvents = flow->facts.isStream && isSuccess(flow->facts.status) && flow->facts.isGenuine;
-    if (isEvents)
-        return passEvents(*flow, event.bytes, now);
-    flow->body += event.bytes;
-    if (flow->body.size() > answerLimit) {
-        m_effects.push_back(CancelCall { flow->id, flow->attempt });
-        endCall(*flow, CallOutcome::Failed, now);
-        resendOrFail(*flow, true, "the answer is larger than can be kept", now);
-    }
-}
-
-void ForwardLogic::passEvents(Flow& flow, std::string bytes, Instant now)
-{
-    for (auto& event : flow.splitter.push(bytes)) {
-        // A replica that takes over may repeat the event after which it was asked to go on.
-        if (event.id && flow.lastEvent && *event.id <= *flow.lastEvent)
-            continue;
-        if (!flow.hasBegun) {
-            flow.hasBegun = true;
-            flow.untilFirst = now - flow.arrivedAt;
-            m_effects.push_back(
-                Note { EventCode::FirstByte, flow.id, flow.replica + " after " + std::to_string((now - flow.sentAt) / 1ms) + " ms" });
-            m_effects.push_back(BeginStream { flow.id, flow.facts.status, flow.headers });
-        } else {
-            flow.longestPause = std::max(flow.longestPause, now - flow.passedAt);
-        }
-        if (event.id)
-            flow.lastEvent = event.id;
-        flow.lastEventAt = flow.passedAt = now;
-        m_effects.push_back(StreamBytes { flow.id, std::move(event.bytes) });
-    }
-    scheduleCheck(flow);
-}
-
-void ForwardLogic::on(const AnswerEnd& event, Instant now)
-{
-    auto* flow = current(event.id, event.attempt);
-    if (!flow)
-        return;
-    const auto& facts = flow->facts;
-    if (facts.wasNotRun && facts.status == httpStatusOf(ResultCode::MalformedRequest)) {
-        endCall(*flow, CallOutcome::Abandoned, now);
-        return refuse(*flow, ResultCode::MalformedRequest, "the replica refused the request as malformed", now);
-    }
-    if (facts.wasNotRun || facts.isOtherReplica) {
-        if (facts.isOtherReplica)
-            on(Withdrawn { flow->replica }, now);
-        endCall(*flow, CallOutcome::Refused, now);
-        ++flow->refusals;
-        return resendOrFail(*flow, false, "the replica did not run the request", now);
-    }
-    if (isSuccess(facts.status) && !facts.isGenuine) {
-        endCall(*flow, CallOutcome::Failed, now);
-        return resendOrFail(*flow, true, "the replica's answer was not its own", now);
-    }
-    if (facts.isStream && isSuccess(facts.status))
-        return endStream(*flow, now);
-    bool isFailure = facts.status >= 500;
-    endCall(*flow, isFailure ? CallOutcome::Failed : CallOutcome::Served, now);
-    ++flow->runs;
-    if (flow->hasBegun)
-        return resendOrFail(*flow, false, "the stream was not taken over", now);
-    if (isFailure && resend(*flow, now))
-        return;
-    m_effects.push_back(Note { EventCode::RequestFinished, flow->id,
-        std::to_string(facts.status) + " after " + std::to_string((now - flow->arrivedAt) / 1ms) + " ms" });
-    m_effects.push_back(Reply { flow->id, facts.status, std::move(flow->headers), std::move(flow->body) });
-    flow->untilFirst = now - flow->arrivedAt;
-    finish(*flow, isFailure ? ResultCode::UpstreamFailed : ResultCode::Ok, now);
-}
-
-void ForwardLogic::endStream(Flow& flow, Instant now)
-{
-    bool isWhole = flow.splitter.rest().empty() && flow.hasBegun;
-    endCall(flow, isWhole ? CallOutcome::Served : CallOutcome::Failed, now);
-    if (!isWhole)
-        return resendOrFail(flow, true, "the stream ended inside an event", now);
-    m_effects.push_back(Note { EventCode::RequestFinished, flow.id,
-        "stream after " + std::to_string((now - flow.arrivedAt) / 1ms) + " ms, longest pause " + std::to_string(flow.longestPause / 1ms)
-            + " ms" });
-    m_effects.push_back(EndStream { flow.id });
-    finish(flow, ResultCode::Ok, now);
-}
-
-void ForwardLogic::on(const CallFailed& event, Instant now)
-{
-    auto* flow = current(event.id, event.attempt);
-    if (!flow)
-        return;
-    endCall(*flow, event.mayHaveRun ? CallOutcome::Failed : CallOutcome::Unreachable, now);
-    if (flow->stage == Flow::Stage::Prefilling)
-        return prefillElsewhere(*flow, !event.mayHaveRun, now);
-    resendOrFail(*flow, event.mayHaveRun, event.why, now);
-}
-
-void ForwardLogic::endCall(Flow& flow, CallOutcome outcome, Instant now)
-{
-    flow.isCalling = false;
-    m_replicas.end(flow.replica, tokensOf(flow), outcome, now - flow.sentAt, now);
-    if (flow.stage == Flow::Stage::Running && m_queue.size()) {
-        m_replicas.noteRoom(flow.replica);
-        m_mayAdmit = true;
-    }
-}
-
-bool ForwardLogic::mayRunAgain(const Flow& flow) const
-{
-    if (flow.route->repeatability == Repeatability::AtMostOnce)
-        return !flow.runs;
-    return flow.runs < flow.route->maxAttempts;
-}
-
-/// Sends the request once more if its route, the number of sends, the replicas and the budget allow it.
-bool ForwardLogic::resend(Flow& flow, Instant now)
-{
-    bool isPossible = mayRunAgain(flow) && flow.sends < sendLimit && m_replicas.choose(needOf(flow), flow.tried, now);
-    return isPossible && m_budget.take(flow.service, now) && send(flow, now);
-}
-
-void ForwardLogic::resendOrFail(Flow& flow, bool mayHaveRun, const std::string& why, Instant now)
-{
-    flow.runs += mayHaveRun ? 1 : 0;
-    if (flow.endsAt <= now)
-        return giveUp(flow, now);
-    if (resend(flow, now)) {
-        m_effects.push_back(Note { EventCode::RequestRetried, flow.id, why });
-        return;
-    }
-    if (flow.hasBegun) {
-        m_effects.push_back(Note { EventCode::RequestFailed, flow.id, why });
-        m_effects.push_back(BreakStream { flow.id });
-        return finish(flow, ResultCode::UpstreamFailed, now);
-    }
-    auto notRun = flow.refusals ? ResultCode::Overloaded : ResultCode::NoUpstream;
-    refuse(flow, flow.runs ? ResultCode::UpstreamFailed : notRun, why, now);
-}
-
-// --- Ends -------------------------------------------------------------------------------------------------------
-
-Duration ForwardLogic::retryAfter(const Flow& flow, Instant now) const
-{
-    return std::clamp<Duration>((flow.endsAt - now) / patiencePartForReturn, shortestReturn, longestReturn);
-}
-
-void ForwardLogic::refuse(Flow& flow, ResultCode code, const std::string& why, Instant now)
-{
-    refuseUntil(flow, code, why, httpStatusOf(code) == 503 ? std::optional(retryAfter(flow, now)) : std::nullopt, now);
-}
-
-void ForwardLogic::refuseUntil(Flow& flow, ResultCode code, const std::string& why, std::optional<Duration> retryAfter, Instant now)
-{
-    Error error { code, why, retryAfter };
-    bool hasFailed = flow.runs > 0;
-    m_effects.push_back(
-        Note { hasFailed ? EventCode::RequestFailed : EventCode::RequestRefused, flow.id, std::string(nameOf(code)) + ": " + why });
-    m_effects.push_back(Refuse { flow.id, std::move(error) });
-    finish(flow, code, now);
-}
-
-void ForwardLogic::giveUp(Flow& flow, Instant now)
-{
-    bool wasCalling = flow.isCalling;
-    if (wasCalling) {
-        m_effects.push_back(CancelCall { flow.id, flow.attempt });
-        endCall(flow, flow.hasHead ? CallOutcome::Abandoned : CallOutcome::Failed, now);
-    }
-    if (flow.hasBegun) {
-        m_effects.push_back(Note { EventCode::RequestFailed, flow.id, "the stream did not end in time" });
-        m_effects.push_back(BreakStream { flow.id });
-        return finish(flow, ResultCode::TimedOut, now);
-    }
-    bool wasRunning = wasCalling && flow.stage == Flow::Stage::Running;
-    bool mayHaveRun = flow.runs || wasRunning;
-    flow.runs += wasRunning ? 1 : 0;
-    refuse(flow, mayHaveRun ? ResultCode::TimedOut : ResultCode::DeadlineUnreachable, "no answer in time", now);
-}
-
-void ForwardLogic::on(const CallerGone& event, Instant now)
-{
-    auto it = m_flows.find(event.id);
-    if (it == m_flows.end())
-        return;
-    auto& flow = it->second;
-    m_effects.push_back(
-        Note { EventCode::RequestCancelled, flow.id, "the caller left after " + std::to_string((now - flow.arrivedAt) / 1ms) + " ms" });
-    if (flow.isCalling) {
-        m_effects.push_back(CancelCall { flow.id, flow.attempt });
-        endCall(flow, CallOutcome::Abandoned, now);
-    }
-    finish(flow, ResultCode::Cancelled, now);
-}
-
-void ForwardLogic::finish(Flow& flow, ResultCode code, Instant now)
-{
-    if (flow.admittedAt)
-        m_engineLoad.leave(flow.service, *flow.admittedAt, code == ResultCode::Ok, now);
-    m_effects.push_back(Finished { flow.route ? flow.route->name : "", code, flow.sends, flow.untilFirst, flow.waitedForPlace });
-    dropSource(flow);
-    dropPlace(flow);
-    auto id = flow.id;
-    m_queue.remove(id);
-    m_wakes.erase({ flow.checkAt, id });
-    m_flows.erase(id);
-}
-
 // --- Time -------------------------------------------------------------------------------------------------------
 
 void ForwardLogic::scheduleCheck(Flow& flow)
--- a/src/request/ForwardLogic.h
+++ b/src/request/ForwardLogic.h
@@ -43,6 +43,9 @@
     static constexpr Duration holdForDocumentLimit = 500ms;
     /// How busy the engines are is told to the controllers this often: several times within a change of stage, which takes seconds.
     static constexpr Duration loadReportEvery = 1s;
+    /// The part of its share of a replica's connections that a gateway uses, since gateways come and go while the others still count
+    /// with the former number, and a call that gives something back needs a connection too.
+    static constexpr double usedConnections = 0.8;
     /// Sends of one request at most, counting those that a replica did not run.
     static constexpr std::uint32_t sendLimit = 4;
 
@@ -115,6 +118,7 @@
     void scheduleCheck(Flow&);
     void finish(Flow&, ResultCode, Instant);
     [[nodiscard]] ReplicaTable::Need needOf(const Flow&) const;
+    [[nodiscard]] std::uint32_t callLimit(const ServiceRule*) const;
     [[nodiscard]] const ServiceRule* engineRule(const Flow&) const;
     [[nodiscard]] std::uint32_t tokensOf(const Flow&) const;
     [[nodiscard]] Duration retryAfter(const Flow&, Instant) const;
--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/ForwardPlaces.cpp
@@ -34,7 +34,7 @@
     if (!rule || rule->engine.placeHold <= Duration::zero() || !flow.ask.promptTokens)
         return false;
     // Without any decode replica there is nothing to wait for.
-    if (!m_replicas.choose(needOf(flow), {}, now))
+    if (!m_replicas.hasReady(flow.service, UpstreamKind::Decode))
         return false;
     flow.stage = Flow::Stage::Waiting;
     flow.waiter = PlaceQueue::makeWaiter(flow.id, flow.route->rank, flow.arrivedAt, inTimeUntil(flow), now);
@@ -154,6 +154,7 @@
     if (flow.place)
         need.nearTo = m_replicas.zoneOf(flow.place->replica);
     need.cacheTokens = rule->engine.cacheTokens;
+    need.maxCalls = callLimit(rule);
     auto choice = m_replicas.choose(need, flow.tried, now);
     if (!choice)
         return false;
--- a/src/request/ReplicaTable.cpp
+++ b/src/request/ReplicaTable.cpp
@@ -55,19 +55,30 @@
     return load.avoidUntil > now || (hearsControllers && now - entry.heardAt > silentAfter);
 }
 
+/// A replica without a stage does what both do.
+bool ReplicaTable::serves(const Announcement& announcement, const std::string& service, UpstreamKind kind)
+{
+    bool isOfKind = announcement.kind == kind || announcement.kind == UpstreamKind::Plain;
+    return announcement.service == service && isOfKind && announcement.state == ReplicaState::Ready;
+}
+
+bool ReplicaTable::hasReady(const std::string& service, UpstreamKind kind) const
+{
+    const auto& entries = m_registry.entries();
+    return std::any_of(entries.begin(), entries.end(), [&](const auto& item) { return serves(item.second.announcement, service, kind); });
+}
+
 std::optional<ReplicaTable::Choice> ReplicaTable::choose(const Need& need, const std::set<std::string>& tried, Instant now)
 {
     const ReplicaRegistry::Entry* best = nullptr;
     bool bestIsDoubtful = true;
     double bestCost = 0;
     for (const auto& [id, entry] : m_registry.entries()) {
-        const auto& announcement = entry.announcement;
-        bool isOfKind = announcement.kind == need.kind || announcement.kind == UpstreamKind::Plain;
-        bool fits = announcement.service == need.service && isOfKind && announcement.state == ReplicaState::Ready;
-        if (!fits || tried.contains(id) || entry.isChanging(now))
+        if (!serves(entry.announcement, need.service, need.kind) || tried.contains(id) || entry.isChanging(now))
             continue;
         const auto& load = m_loads[id];
-        if (need.skipsFull && load.fullUntil > now)
+        bool isAtLimit = need.maxCalls && load.calls >= need.maxCalls;
+        if (isAtLimit || (need.skipsFull && load.fullUntil > now))
             continue;
         bool isDoubtful = this->isDoubtful(entry, load, now);
         // Gateways that see the same idle replicas must not all take the first: a spread below a tenth breaks ties.
--- a/src/request/ReplicaTable.h
+++ b/src/request/ReplicaTable.h
@@ -39,6 +39,7 @@
         std::uint32_t tokens = 0; ///< What the request puts into an engine's memory.
         std::uint64_t cacheTokens = 0; ///< What a replica's memory holds; zero: no engine.
         bool skipsFull = false; ///< Rather none than one that has no room now.
+        std::uint32_t maxCalls = 0; ///< A replica with this many calls from here is not sent another; zero: no limit.
         std::string nearTo; ///< The zone to prefer; empty: the gateway's own.
     };
     struct Load {
@@ -64,6 +65,8 @@
     /// The replica to send to, other than those in `tried`. Replicas that were not heard of lately, or are avoided, are taken
     /// only if there are no others.
     std::optional<Choice> choose(const Need&, const std::set<std::string>& tried, Instant now);
+    /// Whether any replica of this kind takes work, however busy it is.
+    [[nodiscard]] bool hasReady(const std::string& service, UpstreamKind) const;
     /// The availability zone of a replica, or empty.
     [[nodiscard]] std::string zoneOf(const std::string& id) const;
     void begin(const std::string& id, std::uint32_t tokens);
@@ -81,6 +84,7 @@
     [[nodiscard]] double meanSeconds(const std::string& service, UpstreamKind) const;
 
 private:
+    [[nodiscard]] static bool serves(const Announcement&, const std::string& service, UpstreamKind);
     [[nodiscard]] double costOf(const ReplicaRegistry::Entry&, const Load&, const Need&) const;
     [[nodiscard]] bool isDoubtful(const ReplicaRegistry::Entry&, const Load&, Instant now) const;
 
--- a/src/request/SharedRetryBudget.h
+++ b/src/request/SharedRetryBudget.h
@@ -39,6 +39,8 @@
     [[nodiscard]] double left(const std::string& service, Instant now);
     [[nodiscard]] std::map<std::string, double> leftByService(Instant now);
     void setGateways(std::uint32_t n) { m_gateways = n ? n : 1; }
+    /// How many gateways share what is bounded for all together.
+    [[nodiscard]] std::uint32_t gateways() const { return m_gateways; }
 
 private:
     /// Gateways that share the slack until a controller says how many there are: more than either of today's sites has.
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -594,6 +594,32 @@
     CHECK(bench.logic().retryBudget(bench.now).at("plain") > 48);
 }
 
+TEST_CASE("a replica is never sent more calls than this gateway's share of its connections")
+{
+    // Symptom: requests are reset that no replica ever read. Sequence: a slow replica gathers calls of all gateways, until it accepts no
+    // more connections. Cause: each gateway opened as many as it liked.
+    Bench bench;
+    auto limited = document(1);
+    limited.services[0].maxConnections = 10;
+    bench.post(TakeDocument { limited, true });
+    bench.post(RegistryPulse { {}, 4 });
+    bench.replica("r1").replica("r2");
+    std::map<std::string, int> calls;
+    for (int i = 0; i < 4; ++i) {
+        bench.ask("/once/x");
+        ++calls[bench.only<Send>().replica];
+    }
+    CHECK(calls == std::map<std::string, int> { { "r1", 2 }, { "r2", 2 } });
+    bench.ask("/once/x");
+    CHECK(bench.did<Send>().empty());
+    CHECK(bench.only<Refuse>().error.code == ResultCode::Overloaded);
+    CHECK(bench.only<Refuse>().error.retryAfter);
+    // Fewer gateways, larger shares.
+    bench.post(RegistryPulse { {}, 1 });
+    bench.ask("/once/x");
+    CHECK(bench.did<Send>().size() == 1);
+}
+
 TEST_CASE("a resend that the budget does not allow is not made")
 {
     Bench bench;
