--- a/src/tool/Commands.cpp
+++ b/src/tool/Commands.cpp
@@ -3,7 +3,9 @@
 #include "tool/AdminClient.h"
 #include "tool/Table.h"
 
+#include <algorithm>
 #include <iostream>
+#include <limits>
 
 namespace wrenhinge::tool {
 
@@ -18,6 +20,23 @@
         return json[key].is_string() ? json[key].get<std::string>() : json[key].dump();
     }
 
+    /// How many members the log has as this controller knows them.
+    std::string membersOf(const Json& json)
+    {
+        return json.contains("members") && json["members"].is_array() ? std::to_string(json["members"].size()) : "-";
+    }
+
+    /// What a gateway may still send once more, at the service that has least left.
+    std::string budgetOf(const Json& json)
+    {
+        if (!json.contains("retry_budget_left") || !json["retry_budget_left"].is_object() || json["retry_budget_left"].empty())
+            return "-";
+        double least = std::numeric_limits<double>::infinity();
+        for (const auto& left : json["retry_budget_left"])
+            least = std::min(least, left.get<double>());
+        return std::to_string(static_cast<long>(least));
+    }
+
     int usage(const std::string& what) { return fail(what + "; see wrenhinge --help", ExitUsage); }
 
 } // namespace
@@ -56,18 +75,19 @@
     if (!processes)
         return fail(processes.error().message, ExitUnreachable);
     auto all = Json::array();
-    Table table({ "NAME", "ROLE", "ZONE", "CONFIG", "IN PROGRESS", "STATE" });
+    Table table({ "NAME", "ROLE", "ZONE", "CONFIG", "DOCUMENT", "MEMBERS", "IN PROGRESS", "RETRIES LEFT", "STATE" });
     for (const auto& process : processes.value()) {
         auto answer = callAdmin(process.admin, "GET", "/status");
         if (!answer || !answer.value().json.is_object()) {
-            table.add({ process.name, process.role, process.zone, "-", "-", "unreachable" });
+            table.add({ process.name, process.role, process.zone, "-", "-", "-", "-", "-", "unreachable" });
             continue;
         }
         const auto& json = answer.value().json;
         all.push_back(json);
         bool isLeader = json.value("is_leader", false);
         auto state = json.value("draining", false) ? "draining" : isLeader ? "leader" : "in use";
-        table.add({ process.name, process.role, process.zone, textOf(json, "config_version"), textOf(json, "in_progress"), state });
+        table.add({ process.name, process.role, process.zone, textOf(json, "config_version"), textOf(json, "document_version"),
+            membersOf(json), textOf(json, "in_progress"), budgetOf(json), state });
     }
     std::cout << (options.json ? all.dump(2) + "\n" : table.text());
     return ExitOk;
