Logging never waits: a bounded queue, a thread that writes, a rate for each event, and gaps that are told

Cause: each line was a blocking write on the thread that serves requests. With a standard output whose reader stalls a gateway answers nobody once the pipe is full. Volume was bounded only by one line a decision. A text with quotes broke its value. Change: LineWriter (256 KB, lines of 50 ms in one write, never blocks the one who logs, ends within 0.3 s), a log4cplus appender before it, 1,000 lines of an event at once and 200 a second, event 104 for what was left out and a gauge; quotes are escaped. Ruled out: log4cplus' own asynchronous appender (it waits when its queue is full).

--- a/src/base/EventCode.cpp
+++ b/src/base/EventCode.cpp
@@ -13,6 +13,8 @@
         EventRow { EventCode::ProcessDraining, "PROCESS_DRAINING" },
         EventRow { EventCode::ProcessStopped, "PROCESS_STOPPED" },
         EventRow { EventCode::SettingsReloaded, "SETTINGS_RELOADED" },
+        EventRow { EventCode::LinesLeftOut, "LINES_LEFT_OUT" },
+        EventRow { EventCode::LogFileRefused, "LOG_FILE_REFUSED" },
         EventRow { EventCode::PeerUp, "PEER_UP" },
         EventRow { EventCode::PeerDown, "PEER_DOWN" },
         EventRow { EventCode::RequestReceived, "REQUEST_RECEIVED" },
--- a/src/base/EventCode.h
+++ b/src/base/EventCode.h
@@ -20,6 +20,8 @@
     ProcessDraining = 101,
     ProcessStopped = 102,
     SettingsReloaded = 103,
+    LinesLeftOut = 104,
+    LogFileRefused = 105,
     PeerUp = 110,
     PeerDown = 111,
     // 2xx: a request at its gateway.
--- a/src/process/EventLog.cpp
+++ b/src/process/EventLog.cpp
@@ -2,18 +2,22 @@
 
 #include "base/SystemClock.h"
 
+#include <algorithm>
+#include <fcntl.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
+#include <utility>
 
 namespace wrenhinge {
 
 namespace {
 
+    constexpr int logFilePermissions = 0640;
     constexpr const char* lineLayout = "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n";
 
     log4cplus::LogLevel levelOf(EventCode code)
@@ -41,11 +45,41 @@
         return instance;
     }
 
-    log4cplus::SharedAppenderPtr makeAppender(const LogSettings& settings)
+    /// Gives formatted lines to a LineWriter and counts what that has no room for.
+    class QueueAppender : public log4cplus::Appender {
+    public:
+        QueueAppender(LineWriter& writer, std::atomic<std::uint64_t>& leftOut)
+            : m_writer(writer)
+            , m_leftOut(leftOut)
+        {
+        }
+        ~QueueAppender() override { destructorImpl(); }
+        void close() override { closed = true; }
+
+    protected:
+        void append(const log4cplus::spi::InternalLoggingEvent& event) override
+        {
+            log4cplus::tostringstream line;
+            layout->formatAndAppend(line, event);
+            if (!m_writer.write(line.str()))
+                ++m_leftOut;
+        }
+
+    private:
+        LineWriter& m_writer;
+        std::atomic<std::uint64_t>& m_leftOut;
+    };
+
+    /// A text as a quoted value: what would end the quotes or the line is escaped.
+    std::string quoted(const std::string& text)
     {
-        if (settings.file.empty())
-            return log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(!settings.toStandardOutput, true));
-        return log4cplus::SharedAppenderPtr(new log4cplus::FileAppender(settings.file, std::ios_base::app));
+        std::string out = "\"";
+        for (char c : text) {
+            if (c == '"' || c == '\\')
+                out += '\\';
+            out += c == '\n' ? ' ' : c;
+        }
+        return out + "\"";
     }
 
 } // namespace
@@ -54,15 +88,30 @@
     : m_process(std::move(process))
 {
     log4cplus::initialize();
-    auto appender = makeAppender(settings);
+    int fd = settings.toStandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+    if (!settings.file.empty()) {
+        m_file = ::open(settings.file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, logFilePermissions);
+        fd = m_file >= 0 ? m_file : STDERR_FILENO;
+    }
+    m_writer = std::make_unique<LineWriter>(fd);
+    log4cplus::SharedAppenderPtr appender(new QueueAppender(*m_writer, m_leftOut));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(lineLayout));
     logger().removeAllAppenders();
     logger().addAppender(appender);
     logger().setAdditivity(false);
     setLevel(settings.level);
+    if (!settings.file.empty() && m_file < 0)
+        write({ EventCode::LogFileRefused, {}, settings.file + " can't be opened; the log goes to standard error" });
 }
 
-EventLog::~EventLog() { logger().removeAllAppenders(); }
+EventLog::~EventLog()
+{
+    tellLeftOut();
+    logger().removeAllAppenders();
+    m_writer.reset();
+    if (m_file >= 0)
+        ::close(m_file);
+}
 
 void EventLog::setLevel(const std::string& level)
 {
@@ -84,15 +133,50 @@
     auto level = levelOf(note.code);
     if (!logger().isEnabledFor(level))
         return;
+    if (!isWithinRate(note.code)) {
+        ++m_leftOut;
+        return;
+    }
+    tellLeftOut();
+    writeLine(level, note);
+}
+
+void EventLog::writeLine(int level, const Note& note)
+{
     auto line
         = "event=" + std::to_string(static_cast<int>(note.code)) + " name=" + std::string(nameOf(note.code)) + " process=" + m_process;
-    if (!request.empty())
-        line += " request=" + request;
+    if (note.request.sequence)
+        line += " request=" + toString(note.request);
     if (!note.text.empty())
-        line += " text=\"" + note.text + "\"";
+        line += " text=" + quoted(note.text);
     logger().forcedLog(level, line);
 }
 
+bool EventLog::isWithinRate(EventCode code)
+{
+    std::lock_guard lock(m_mutex);
+    auto now = currentInstant();
+    auto& budget = m_budgets[code];
+    budget.lines = std::min(linesAtOnce, budget.lines + toSeconds(now - std::exchange(budget.at, now)) * linesPerSecond);
+    if (budget.lines < 1)
+        return false;
+    --budget.lines;
+    return true;
+}
+
+/// A gap in the log is told as soon as there is room for a line.
+void EventLog::tellLeftOut()
+{
+    auto all = m_leftOut.load();
+    auto told = m_leftOutTold.load();
+    if (all == told || !m_leftOutTold.compare_exchange_strong(told, all))
+        return;
+    writeLine(log4cplus::WARN_LOG_LEVEL, { EventCode::LinesLeftOut, {}, std::to_string(all - told) + " lines" });
+    // No room for this line either: the next one tells.
+    if (m_leftOut != all)
+        m_leftOutTold = told;
+}
+
 std::vector<TimelineEvent> EventLog::events(const std::string& request) const
 {
     std::lock_guard lock(m_mutex);
--- a/src/process/EventLog.h
+++ b/src/process/EventLog.h
@@ -1,6 +1,9 @@
 /** \file
  * Where notes go: the log (log4cplus) and this process's part of the time line.
  *
+ * A line is logfmt: time, level, event, name, process, request if it is about one, text in quotes. Logging never waits (LineWriter),
+ * and each event has a rate: what goes beyond is left out and counted, the first lines of an event never.
+ *
  * The time line keeps the newest events in memory, each with a hybrid logical stamp, and `wrenhinge timeline` merges
  * those of all processes. Stamps travel with every message between processes.
  */
@@ -8,9 +11,13 @@
 
 #include "base/EventCode.h"
 #include "base/HybridClock.h"
+#include "process/LineWriter.h"
 #include "process/Settings.h"
 
+#include <atomic>
 #include <deque>
+#include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -27,6 +34,9 @@
 class EventLog {
 public:
     static constexpr std::size_t eventsKept = 50000;
+    /// Lines of one event: this many at once, then this many a second. The heaviest gateway seen writes 60 a second of one event.
+    static constexpr double linesAtOnce = 1000;
+    static constexpr double linesPerSecond = 200;
 
     /// Starts log4cplus as the settings say. `process` names this process in each line.
     EventLog(const LogSettings&, std::string process);
@@ -36,6 +46,8 @@
 
     void write(const Note&);
     void setLevel(const std::string& level);
+    /// Lines that were left out since the start, for want of room or beyond the rate of their event.
+    [[nodiscard]] std::uint64_t linesLeftOut() const { return m_leftOut; }
     /// The kept events, of one request if `request` is given.
     [[nodiscard]] std::vector<TimelineEvent> events(const std::string& request) const;
 
@@ -43,10 +55,24 @@
     void stampReceive(HybridTime);
 
 private:
+    struct Budget {
+        double lines = linesAtOnce;
+        Instant at;
+    };
+
+    bool isWithinRate(EventCode);
+    void tellLeftOut();
+    void writeLine(int level, const Note&);
+
     std::string m_process;
+    int m_file = -1; ///< Open while the log goes to a file.
+    std::atomic<std::uint64_t> m_leftOut = 0;
+    std::atomic<std::uint64_t> m_leftOutTold = 0; ///< The part of them that a line in the log has told of.
+    std::unique_ptr<LineWriter> m_writer;
     mutable std::mutex m_mutex; ///< Guards what follows; nothing else is locked under it.
     HybridClock m_clock;
     std::deque<TimelineEvent> m_events;
+    std::map<EventCode, Budget> m_budgets;
 };
 
 } // namespace wrenhinge
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -394,6 +394,7 @@
             return AdminPages::notFound(request.path);
         m_driver.inspect([this](const ForwardLogic& logic) {
             m_metrics.setGauge("wrenhinge_in_progress", static_cast<double>(logic.requests()));
+            m_metrics.setGauge("wrenhinge_log_lines_left_out", static_cast<double>(m_runtime.log().linesLeftOut()));
             m_metrics.setGauge("wrenhinge_document_version", static_cast<double>(logic.documentVersion()));
         });
         return { 200, "text/plain; version=0.0.4", m_metrics.text() };
--- /dev/null
+++ b/src/process/LineWriter.cpp
@@ -0,0 +1,91 @@
+#include "process/LineWriter.h"
+
+#include "base/SystemClock.h"
+
+#include <cerrno>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
+
+namespace wrenhinge {
+
+namespace {
+
+    /// A pipe that polls as writable takes this much without blocking (PIPE_BUF).
+    constexpr std::size_t bytesPerWrite = 4096;
+    constexpr int pollMilliseconds = 50;
+
+} // namespace
+
+LineWriter::LineWriter(int fd)
+    : m_fd(fd)
+    , m_thread([this] { run(); })
+{
+}
+
+LineWriter::~LineWriter()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_changed.notify_one();
+    m_thread.join();
+}
+
+bool LineWriter::write(const std::string& line)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_waiting.size() + m_writing + line.size() > bytesKept)
+        return false;
+    bool isFirst = m_waiting.empty();
+    m_waiting += line;
+    if (isFirst)
+        m_changed.notify_one();
+    return true;
+}
+
+void LineWriter::run()
+{
+    for (;;) {
+        std::string bytes;
+        {
+            std::unique_lock lock(m_mutex);
+            m_changed.wait(lock, [this] { return m_isStopping || !m_waiting.empty(); });
+            m_changed.wait_for(lock, gatherFor, [this] { return m_isStopping.load(); });
+            bytes = std::exchange(m_waiting, {});
+            m_writing = bytes.size();
+            if (bytes.empty())
+                return;
+        }
+        auto stopsAt = Instant::max();
+        while (!bytes.empty()) {
+            if (m_isStopping && stopsAt == Instant::max())
+                stopsAt = currentInstant() + endWithin;
+            if (currentInstant() >= stopsAt || !writeSome(bytes))
+                return;
+        }
+        std::lock_guard lock(m_mutex);
+        m_writing = 0;
+    }
+}
+
+/// Waits for room for a moment and writes what surely does not block. \returns false if nobody will ever read.
+bool LineWriter::writeSome(std::string& bytes) const
+{
+    pollfd descriptor { m_fd, POLLOUT, 0 };
+    int ready = ::poll(&descriptor, 1, pollMilliseconds);
+    if (ready < 0)
+        return errno == EINTR;
+    if (descriptor.revents & (POLLERR | POLLNVAL))
+        return false;
+    if (!ready)
+        return true;
+    auto n = ::write(m_fd, bytes.data(), std::min(bytes.size(), bytesPerWrite));
+    if (n < 0)
+        return errno == EINTR || errno == EAGAIN;
+    bytes.erase(0, static_cast<std::size_t>(n));
+    return true;
+}
+
+} // namespace wrenhinge
