A sidecar looks at its queue once an event, not once for each in it

Cause: at each event pumpQueue predicted the wait of every queued piece of work by a look at all work. That is the square of the queue: with some 300 prompts queued it takes longer than a prefill, so the queue that a short stall leaves grows without bound; the costs that are learnt grow with it, and requests are held for up to 61 s and then refused with predicted waits of 20 to 32 s. Change: one pass in order of service adds up what is ahead (QueueAdmission::Pass); the prediction for a single piece of work uses the same. Ruled out: the tokens' rate (also at 26,000 a second), the engine's slots, lost connections.

--- a/src/request/QueueAdmission.cpp
+++ b/src/request/QueueAdmission.cpp
@@ -22,21 +22,33 @@
 {
 }
 
+void QueueAdmission::Pass::addRunning(const Work& work)
+{
+    ++m_running;
+    m_ahead += remainingOf(work, m_admission.m_cost, m_now);
+}
+
+void QueueAdmission::Pass::addWaiting(const Work& work)
+{
+    ++m_waiting;
+    m_ahead += m_admission.m_cost.estimate(work.cost);
+}
+
+Duration QueueAdmission::Pass::wait() const
+{
+    return m_running + m_waiting < m_admission.m_slots ? Duration::zero() : m_ahead / m_admission.m_slots;
+}
+
 Duration QueueAdmission::predictedWait(const WorkTable& table, const Work& work, Instant now) const
 {
-    Duration ahead {};
-    std::uint32_t running = 0;
-    std::uint32_t waitingAhead = 0;
+    Pass pass(*this, now);
     for (const auto& [key, other] : table) {
-        if (other.stage == WorkStage::Running) {
-            ++running;
-            ahead += remainingOf(other, m_cost, now);
-        } else if (other.stage == WorkStage::Queued && key != work.key && WaitOrder::before(other, work)) {
-            ++waitingAhead;
-            ahead += m_cost.estimate(other.cost);
-        }
+        if (other.stage == WorkStage::Running)
+            pass.addRunning(other);
+        else if (other.stage == WorkStage::Queued && key != work.key && WaitOrder::before(other, work))
+            pass.addWaiting(other);
     }
-    return running + waitingAhead < m_slots ? Duration::zero() : ahead / m_slots;
+    return pass.wait();
 }
 
 Duration QueueAdmission::backlog(const WorkTable& table, Priority priority, Instant now) const
--- a/src/request/QueueAdmission.h
+++ b/src/request/QueueAdmission.h
@@ -13,6 +13,32 @@
 
 class QueueAdmission {
 public:
+    /// Predicts the waits of queued work one after the other, in order of service, so that a look at the whole queue costs its length.
+    /// Predicting each by itself costs the square of it: with a burst of 300 prompts in the queue a sidecar was busier with its
+    /// predictions than its engine with the prompts, the queue grew without bound and requests were held for 61 s.
+    class Pass {
+    public:
+        Pass(const QueueAdmission& admission, Instant now)
+            : m_admission(admission)
+            , m_now(now)
+        {
+        }
+        /// Work that is running, or starts now.
+        void addRunning(const Work&);
+        /// Work that stays in the queue, before all that comes after it in this pass.
+        void addWaiting(const Work&);
+        /// Predicted time until the next work in order would start.
+        [[nodiscard]] Duration wait() const;
+        [[nodiscard]] bool hasFreeSlot() const { return m_running < m_admission.m_slots; }
+
+    private:
+        const QueueAdmission& m_admission;
+        Instant m_now;
+        Duration m_ahead {};
+        std::uint32_t m_running = 0;
+        std::uint32_t m_waiting = 0;
+    };
+
     static constexpr std::size_t queueLimit = 1024;
 
     QueueAdmission(std::uint32_t slots, LinearCost cost);
--- a/src/request/SidecarLogic.cpp
+++ b/src/request/SidecarLogic.cpp
@@ -352,18 +352,22 @@
 
 void SidecarLogic::pumpQueue(Instant now)
 {
-    auto running = static_cast<std::uint32_t>(m_calls.size());
+    QueueAdmission::Pass pass(m_queue, now);
+    for (const auto& [call, key] : m_calls)
+        pass.addRunning(m_work.at(key));
     for (const auto& key : m_waiting.keys()) {
         auto& work = m_work.at(key);
-        auto wait = running < m_queue.slots() ? Duration::zero() : m_queue.predictedWait(m_work, work, now);
+        auto wait = pass.hasFreeSlot() ? Duration::zero() : pass.wait();
         // A plain call has a deadline for its start, a prefill one for its end.
         bool inTime = m_profile.kind == UpstreamKind::Plain ? now + wait <= work.deadline : m_queue.canEndInTime(work, wait, now);
         if (!inTime) {
             refuse(key, ResultCode::DeadlineUnreachable, now);
-        } else if (running < m_queue.slots()) {
+        } else if (pass.hasFreeSlot()) {
             m_waiting.remove(work);
             start(work, now);
-            ++running;
+            pass.addRunning(work);
+        } else {
+            pass.addWaiting(work);
         }
     }
 }
--- a/test/correctness/EstimateTest.cpp
+++ b/test/correctness/EstimateTest.cpp
@@ -5,12 +5,61 @@
 #include "base/Units.h"
 #include "request/LinearCost.h"
 #include "request/PrefixIndex.h"
+#include "request/QueueAdmission.h"
 #include "request/SlotForecast.h"
 
 #include <doctest/doctest.h>
 
 using namespace wrenhinge;
 
+namespace {
+
+/// A sidecar's table with so much running and waiting work, of different sizes, priorities and deadlines.
+WorkTable tableOf(std::uint64_t running, std::uint64_t waiting, Instant now)
+{
+    WorkTable table;
+    for (std::uint64_t i = 1; i <= running + waiting; ++i) {
+        Work work;
+        work.key = { RequestId { PeerId(1), i }, Attempt(1) };
+        work.order = i;
+        work.stage = i <= running ? WorkStage::Running : WorkStage::Queued;
+        work.started = now - Duration(i * 100);
+        work.deadline = now + Duration(i * 7919 % 100 * 10000);
+        work.priority = i % 3 ? Priority::Normal : Priority::Urgent;
+        work.cost = static_cast<double>(i * 31 % 1000);
+        table[work.key] = work;
+    }
+    return table;
+}
+
+} // namespace
+
+TEST_CASE("a pass over the queue predicts for each work what its own prediction says")
+{
+    // Symptom: requests are held for a minute and then refused, though the engine is idle most of the time. Sequence: a burst queues some
+    // hundred prompts. Cause: each event had the wait of each predicted by a look at all of them, which took longer than a prefill.
+    Instant now { std::chrono::seconds(1000) };
+    for (std::uint32_t slots : { 1u, 3u }) {
+        for (std::uint64_t running = 0; running <= slots; ++running) {
+            QueueAdmission admission(slots, LinearCost(2ms, 20, 1000));
+            auto table = tableOf(running, 60, now);
+            WaitOrder order;
+            QueueAdmission::Pass pass(admission, now);
+            for (const auto& [key, work] : table) {
+                if (work.stage == WorkStage::Running)
+                    pass.addRunning(work);
+                else
+                    order.add(work);
+            }
+            for (const auto& key : order.keys()) {
+                const auto& work = table.at(key);
+                CHECK(pass.wait() == admission.predictedWait(table, work, now));
+                pass.addWaiting(work);
+            }
+        }
+    }
+}
+
 TEST_CASE("LinearCost learns a line from observations of different sizes")
 {
     LinearCost cost(1ms, 1, 100);
