--- a/src/request/SidecarLogic.h
+++ b/src/request/SidecarLogic.h
@@ -39,6 +39,9 @@
 
 class SidecarLogic {
 public:
+    /// A caller is told to come back after this long at least: a refusal is no invitation to ask again at once.
+    static constexpr Duration shortestRetryAfter = 50ms;
+
     using Effects = std::vector<sidecar::Effect>;
 
     explicit SidecarLogic(SidecarProfile);
--- /dev/null
+++ b/src/request/SidecarService.cpp
@@ -0,0 +1,225 @@
+/** \file
+ * The part of SidecarLogic that serves: who waits, who starts, who is granted a slot, and who is refused.
+ */
+#include "request/SidecarLogic.h"
+
+#include <algorithm>
+
+namespace wrenhinge {
+
+// --- Service ----------------------------------------------------------------------------------------------------
+
+void SidecarLogic::queueOrRefuse(Work& work, Instant now)
+{
+    auto key = work.key;
+    if (isDraining())
+        return refuse(key, ResultCode::Draining, now);
+    if (m_waiting.size() >= QueueAdmission::queueLimit)
+        return refuse(key, ResultCode::Overloaded, now);
+    m_waiting.add(work);
+    pump(now);
+    if (auto it = m_work.find(key); it != m_work.end() && it->second.stage == WorkStage::Queued)
+        note(EventCode::WorkQueued, key, "waiting: " + std::to_string(m_waiting.size()));
+}
+
+void SidecarLogic::pump(Instant now)
+{
+    m_lastPump = now;
+    expire(now);
+    if (isDraining()) {
+        for (const auto& key : m_waiting.keys())
+            refuse(key, ResultCode::Draining, now);
+    }
+    if (m_profile.kind == UpstreamKind::Decode)
+        pumpDecode(now);
+    else
+        pumpQueue(now);
+    if (m_leaving && m_work.empty() && !m_saidDrained) {
+        m_saidDrained = true;
+        m_effects.push_back(sidecar::Drained {});
+    }
+}
+
+void SidecarLogic::expire(Instant now)
+{
+    std::vector<WorkKey> lapsed;
+    for (const auto& [key, work] : m_work) {
+        bool canLapse = work.stage == WorkStage::Granted || work.stage == WorkStage::Ready || work.stage == WorkStage::HoldsResult;
+        bool isUnused = work.stage == WorkStage::Granted && !m_profile.safeguards.expiresGrants;
+        if (canLapse && !isUnused && work.stageEnds <= now)
+            lapsed.push_back(key);
+    }
+    for (const auto& key : lapsed) {
+        auto& work = m_work.at(key);
+        if (work.stage == WorkStage::HoldsResult) {
+            // Fetched or expired at the engine by itself; only our record of it ends here.
+            m_work.erase(key);
+            continue;
+        }
+        note(work.stage == WorkStage::Granted ? EventCode::GrantExpired : EventCode::ResultExpired, key, "no slot was used in time");
+        refuse(key, ResultCode::Overloaded, now);
+    }
+}
+
+void SidecarLogic::pumpQueue(Instant now)
+{
+    QueueAdmission::Pass pass(m_queue, now);
+    for (const auto& [call, key] : m_calls)
+        pass.addRunning(m_work.at(key));
+    for (const auto& key : m_waiting.keys()) {
+        auto& work = m_work.at(key);
+        auto wait = pass.hasFreeSlot() ? Duration::zero() : pass.wait();
+        // A plain call has a deadline for its start, a prefill one for its end.
+        bool inTime = m_profile.kind == UpstreamKind::Plain ? now + wait <= work.deadline : m_queue.canEndInTime(work, wait, now);
+        if (!inTime) {
+            refuse(key, ResultCode::DeadlineUnreachable, now);
+        } else if (pass.hasFreeSlot()) {
+            m_waiting.remove(work);
+            start(work, now);
+            pass.addRunning(work);
+        } else {
+            pass.addWaiting(work);
+        }
+    }
+}
+
+void SidecarLogic::pumpDecode(Instant now)
+{
+    startReady(now);
+    bool isBlocked = false;
+    for (const auto& key : m_waiting.keys()) {
+        auto& work = m_work.at(key);
+        auto verdict = m_decode.judge(m_work, work, now);
+        if (verdict == DecodeAdmission::Verdict::Refuse)
+            refuse(key, ResultCode::DeadlineUnreachable, now);
+        else if (verdict == DecodeAdmission::Verdict::Wait)
+            isBlocked = true;
+        else if (!isBlocked)
+            grant(work, now);
+    }
+}
+
+void SidecarLogic::startReady(Instant now)
+{
+    // What can still meet its target goes before what is late anyway.
+    for (bool takesLate : { false, true }) {
+        for (const auto& key : m_ready.keys()) {
+            if (!m_decode.mayStart(m_work))
+                return;
+            auto& work = m_work.at(key);
+            if ((work.deadline < now) != takesLate)
+                continue;
+            m_ready.remove(work);
+            start(work, now);
+        }
+    }
+}
+
+void SidecarLogic::start(Work& work, Instant now)
+{
+    work.stage = WorkStage::Running;
+    work.started = now;
+    m_lastCall = m_lastCall.next();
+    work.call.id = m_lastCall;
+    m_calls.emplace(m_lastCall, work.key);
+    note(EventCode::WorkAdmitted, work.key, "waited " + std::to_string((now - work.arrived).count()) + " us");
+    m_effects.push_back(sidecar::StartCall { work.call });
+    work.call.body.clear();
+}
+
+void SidecarLogic::grant(Work& work, Instant now)
+{
+    m_waiting.remove(work);
+    work.stage = WorkStage::Granted;
+    auto life = m_decode.grantLife(work);
+    work.stageEnds = now + life;
+    send(work.gateway, SlotGrant { work.key.request, work.key.attempt, life, load(work.gateway, now) });
+}
+
+void SidecarLogic::refuse(const WorkKey& key, ResultCode code, Instant now)
+{
+    auto it = m_work.find(key);
+    auto work = std::move(it->second);
+    auto comeBack = retryAfter(work, now);
+    m_waiting.remove(work);
+    m_ready.remove(work);
+    m_work.erase(it);
+    if (!work.ledgerKey.empty())
+        m_ledger.withdraw(work.ledgerKey, key.attempt);
+    note(EventCode::WorkRefused, key, std::string(nameOf(code)));
+    send(work.gateway, Refused { key.request, key.attempt, code, comeBack, load(work.gateway, now) });
+}
+
+/// Ends work whose caller or gateway has gone, wherever it stands.
+void SidecarLogic::release(const WorkKey& key, Instant now)
+{
+    auto it = m_work.find(key);
+    auto& work = it->second;
+    if (work.stage == WorkStage::Running && !work.repeatable) {
+        work.detached = true;
+        return;
+    }
+    if (work.stage == WorkStage::Running) {
+        m_effects.push_back(sidecar::AbortCall { work.call.id });
+        m_calls.erase(work.call.id);
+        if (m_profile.kind == UpstreamKind::Decode)
+            m_decode.observeHold(work, now);
+    }
+    if (work.stage == WorkStage::HoldsResult)
+        m_effects.push_back(sidecar::ReleaseResult { work.kvParams });
+    if (!work.ledgerKey.empty())
+        m_ledger.withdraw(work.ledgerKey, key.attempt);
+    m_waiting.remove(work);
+    m_ready.remove(work);
+    note(EventCode::WorkReleased, key, "caller or gateway has gone");
+    m_work.erase(it);
+}
+
+void SidecarLogic::finish(Work& work, Instant now)
+{
+    auto key = work.key;
+    if (m_profile.kind == UpstreamKind::Decode)
+        m_decode.observeHold(work, now);
+    else
+        m_queue.observe(work, now);
+    if (!work.ledgerKey.empty()) {
+        work.answer.complete = true;
+        m_ledger.finish(work.ledgerKey, key.attempt, work.answer);
+    }
+    auto gateway = work.gateway;
+    auto total = work.sentBytes;
+    bool answer = !work.detached;
+    m_calls.erase(work.call.id);
+    m_work.erase(key);
+    if (answer)
+        send(gateway, ResponseEnd { key.request, key.attempt, total, load(gateway, now) });
+}
+
+void SidecarLogic::observeTokens(Work& work, std::uint32_t tokens, Instant now)
+{
+    if (!tokens || m_profile.kind != UpstreamKind::Decode)
+        return;
+    if (!work.producedTokens) {
+        work.firstToken = now;
+        m_decode.observeStart(work.promptTokens, now - work.started);
+    } else {
+        m_decode.observeTokenInterval((now - work.lastToken) / tokens);
+    }
+    work.producedTokens += tokens;
+    work.lastToken = now;
+}
+
+Duration SidecarLogic::retryAfter(const Work& work, Instant now) const
+{
+    auto wait = m_profile.kind == UpstreamKind::Decode ? m_decode.predictedWait(m_work, work.priority, now)
+                                                       : m_queue.backlog(m_work, work.priority, now);
+    return std::max(shortestRetryAfter, wait);
+}
+
+Work* SidecarLogic::workOf(CallId call)
+{
+    auto it = m_calls.find(call);
+    return it == m_calls.end() ? nullptr : &m_work.at(it->second);
+}
+
+} // namespace wrenhinge
