--- a/src/request/StageOrders.cpp
+++ b/src/request/StageOrders.cpp
@@ -99,7 +99,7 @@
     for (const auto& [gateway, load] : loads) {
         pool.prefillBusy += load.busy.prefill;
         pool.decodeBusy += load.busy.decode;
-        m_changeTakes = load.busy.stageChange;
+        pool.changeTakes = load.busy.stageChange;
     }
     return pool;
 }
@@ -114,6 +114,7 @@
     if (isReverse && now < m_reverseFrom[service])
         return;
     m_reason = describe(pool, *change);
+    m_changeTakes = pool.changeTakes;
     begin(service, *change, now);
 }
 
--- a/src/request/StagePlan.h
+++ b/src/request/StagePlan.h
@@ -45,6 +45,7 @@
     std::size_t becomingDecode = 0;
     double prefillBusy = 0;
     double decodeBusy = 0;
+    Duration changeTakes {}; ///< How long an engine that changes its stage is away.
 };
 
 struct Change {
