A replica without a stage that has read a prompt may also run it

Cause: since a prefill that was not accepted is asked elsewhere, the replicas that were asked were left out when the run was placed. Where engines have no stage and set no places aside, a service with one of them was refused as if no replica were there. Change: they are remembered apart; no copy is asked of the replica that runs itself.

--- a/src/request/ForwardFlow.h
+++ b/src/request/ForwardFlow.h
@@ -44,6 +44,7 @@
     std::uint32_t refusals = 0; ///< Sends that a replica answered as not run.
     std::uint32_t runs = 0; ///< Sends that ran or may have.
     std::set<std::string> tried;
+    std::set<std::string> triedReaders; ///< Replicas that were asked to read the prompt; one without a stage may still run it.
 
     // What waits at engines for this request.
     PlaceQueue::Waiter waiter;
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -263,7 +263,7 @@
         send.source = flow.sentSource = std::exchange(flow.source, std::nullopt);
     // A replica that reads a prompt anew holds up the streams that run there: 5,000 tokens take 0.2 s of theirs. The replica that
     // read it first still keeps most of it: 20,000 to 45,000 tokens a day of 40 s with crashes were copied instead of read.
-    if (!send.source && m_replicas.isReady(flow.reader))
+    if (!send.source && flow.reader != choice->id && m_replicas.isReady(flow.reader))
         send.cacheAddress = flow.readerAddress;
     startCall(flow, *choice, now);
     send.attempt = flow.attempt;
--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/ForwardPlaces.cpp
@@ -155,11 +155,11 @@
         need.nearTo = m_replicas.zoneOf(flow.place->replica);
     need.cacheTokens = rule->engine.cacheTokens;
     need.maxCalls = callLimit(rule);
-    auto choice = m_replicas.choose(need, flow.tried, now);
+    auto choice = m_replicas.choose(need, flow.triedReaders, now);
     if (!choice)
         return false;
     flow.stage = Flow::Stage::Prefilling;
-    flow.tried.insert(choice->id);
+    flow.triedReaders.insert(choice->id);
     startCall(flow, *choice, now);
     m_effects.push_back(
         Send { flow.id, flow.attempt, choice->id, choice->address, flow.endsAt - now, std::nullopt, true, std::nullopt, {}, {} });
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -479,6 +479,30 @@
     }
 }
 
+TEST_CASE("a replica without a stage that has read a prompt may also run it")
+{
+    // Symptom: a service whose only engine does both is refused as if no replica were there. Cause: the one that was asked to read the
+    // prompt was left out when the run was placed.
+    Bench bench;
+    auto both = document(1);
+    both.services[0].isEngine = true;
+    both.services[0].engine = { 64, 60000, 0s, 500ms, 0s };
+    bench.post(TakeDocument { both, true });
+    bench.post(RegistryPulse { {}, 1 });
+    bench.replica("r1");
+    RequestId id { PeerId(1), 77 };
+    Ask ask;
+    ask.host = "desk.example";
+    ask.path = "/once/x";
+    ask.promptTokens = 500;
+    bench.post(Submit { id, ask });
+    auto read = bench.only<Send>();
+    REQUIRE(read.isPrefill);
+    bench.post(PromptRead { id, read.attempt, "kv-1" });
+    CHECK(!bench.only<Send>().isPrefill);
+    CHECK(bench.only<Send>().replica == "r1");
+}
+
 TEST_CASE("a prefill replica that falls silent does not hold the request beyond its target")
 {
     // Symptom: a first event after 2.7 s though nothing was full. Sequence: the prefill replica goes dark with the prompt.
