When a replica counts as silent is said once

Cause: the limit of 4.5 s stood in ReplicaTable, Registrar and StageOrders; the pool of a plan counted two kinds of unavailable engines in two copies. Change: ReplicaRegistry::silentAfter and Entry::isSilent serve all three; one branch in poolOf. At exactly 4.5 s StageOrders now counts a replica like the others do; nothing else changes.

--- a/src/process/Registrar.cpp
+++ b/src/process/Registrar.cpp
@@ -83,7 +83,8 @@
     std::vector<Announcement> list;
     std::map<std::string, std::uint64_t> noted;
     for (const auto& [id, entry] : m_registry.entries()) {
-        if (now - entry.heardAt > silentAfter)
+        // After a restart a crashed one would be asked first.
+        if (entry.isSilent(now))
             continue;
         list.push_back(entry.announcement);
         noted[id] = m_changes[id];
--- a/src/process/Registrar.h
+++ b/src/process/Registrar.h
@@ -31,8 +31,6 @@
     void start(const std::vector<Announcement>& remembered);
     /// Called with the replicas that announce themselves when one has changed, come or fallen silent; set before `start`.
     std::function<void(std::vector<Announcement>)> onChange;
-    /// A replica that has been silent for several announcements is not remembered over a restart: a crashed one would be asked first.
-    static constexpr Duration silentAfter = 4500ms;
     // From replicas.
     void announce(const Announcement&);
     void withdraw(const std::string& id);
--- a/src/request/ReplicaRegistry.h
+++ b/src/request/ReplicaRegistry.h
@@ -18,6 +18,10 @@
 
 class ReplicaRegistry {
 public:
+    /// Replicas announce themselves every 1.2 s and some announcements come seconds late; one that has been silent for three of
+    /// them is taken for gone.
+    static constexpr Duration silentAfter = 4500ms;
+
     struct Entry {
         Announcement announcement;
         Instant heardAt;
@@ -25,6 +29,8 @@
         Instant changeEndsAt; ///< It is taken for what it announces then, whatever became of the order.
 
         [[nodiscard]] bool isChanging(Instant now) const { return changesTo && changeEndsAt > now; }
+        /// It may be gone: neither remembered nor counted, and sent to only if there is no other.
+        [[nodiscard]] bool isSilent(Instant now) const { return now - heardAt > silentAfter; }
     };
     enum class Change : std::uint8_t { None, Renewed, Changed };
 
--- a/src/request/ReplicaTable.cpp
+++ b/src/request/ReplicaTable.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-    /// Replicas announce themselves every 1.2 s and some announcements come seconds late; one that has been silent for three
-    /// of them is taken for gone.
-    constexpr Duration silentAfter = 4500ms;
     /// Without a controller for this long nobody's silence means anything: a gateway that is cut off serves on.
     constexpr Duration controllersGoneAfter = 3s;
     constexpr Duration firstAvoidance = 400ms;
@@ -52,7 +49,7 @@
 bool ReplicaTable::isDoubtful(const ReplicaRegistry::Entry& entry, const Load& load, Instant now) const
 {
     bool hearsControllers = now - m_controllerHeardAt < controllersGoneAfter;
-    return load.avoidUntil > now || (hearsControllers && now - entry.heardAt > silentAfter);
+    return load.avoidUntil > now || (hearsControllers && entry.isSilent(now));
 }
 
 /// A replica without a stage does what both do.
--- a/src/request/StageOrders.cpp
+++ b/src/request/StageOrders.cpp
@@ -80,16 +80,15 @@
     Pool pool;
     for (const auto& [id, entry] : m_registry.entries()) {
         const auto& a = entry.announcement;
-        bool isUsable
-            = a.service == service && a.kind != UpstreamKind::Plain && a.state == ReplicaState::Ready && now - entry.heardAt < silentAfter;
+        bool isUsable = a.service == service && a.kind != UpstreamKind::Plain && a.state == ReplicaState::Ready && !entry.isSilent(now);
         if (!isUsable)
             continue;
-        if (entry.isChanging(now))
-            ++(*entry.changesTo == UpstreamKind::Prefill ? pool.becomingPrefill : pool.becomingDecode);
-        else if (!m_engineRestsUntil.contains(id))
-            pool.engines.push_back({ id, a.address, a.zone, a.kind });
+        bool isChanging = entry.isChanging(now);
+        auto kind = isChanging ? *entry.changesTo : a.kind;
+        if (!isChanging && !m_engineRestsUntil.contains(id))
+            pool.engines.push_back({ id, a.address, a.zone, kind });
         else
-            ++(a.kind == UpstreamKind::Prefill ? pool.becomingPrefill : pool.becomingDecode);
+            ++(kind == UpstreamKind::Prefill ? pool.becomingPrefill : pool.becomingDecode);
     }
     auto& loads = m_loads[service];
     std::erase_if(loads, [now](const auto& item) { return now - item.second.at > reportsCountFor; });
--- a/src/request/StageOrders.h
+++ b/src/request/StageOrders.h
@@ -113,8 +113,6 @@
     static constexpr Duration reportsCountFor = 3s;
     /// Weight of the newest report in the running means: the last five seconds count.
     static constexpr double newest = 0.2;
-    /// An engine that was silent for several announcements may be gone; it is neither counted nor ordered.
-    static constexpr Duration silentAfter = 4500ms;
     /// Beside the time that a change takes, a replica first ends what runs on it.
     static constexpr Duration endsRunningWithin = 4s;
 
