--- a/src/connection/PeerHub.cpp
+++ b/src/connection/PeerHub.cpp
@@ -168,7 +168,7 @@
             link = it->second;
     }
     if (link)
-        link->send(message, m_handlers.stampSend());
+        m_sentBytes += link->send(message, m_handlers.stampSend());
 }
 
 std::vector<Hello> PeerHub::peers() const
@@ -180,6 +180,17 @@
     return list;
 }
 
+PeerHub::Queued PeerHub::queuedBytes() const
+{
+    std::lock_guard lock(m_mutex);
+    Queued queued;
+    for (const auto& [peer, link] : m_links) {
+        queued.all += link->queuedBytes();
+        queued.most = std::max(queued.most, link->queuedBytes());
+    }
+    return queued;
+}
+
 Hello PeerHub::self()
 {
     std::lock_guard lock(m_mutex);
--- a/src/connection/PeerHub.h
+++ b/src/connection/PeerHub.h
@@ -9,6 +9,7 @@
 
 #include "connection/PeerLink.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -43,6 +44,14 @@
     void setAdminAddress(const std::string&);
     /// Who is linked now.
     [[nodiscard]] std::vector<Hello> peers() const;
+    /// Bytes that wait in all links for their peers to read, and in the fullest one.
+    struct Queued {
+        std::size_t all = 0;
+        std::size_t most = 0;
+    };
+    [[nodiscard]] Queued queuedBytes() const;
+    /// Bytes of all messages that were sent over links since the start.
+    [[nodiscard]] std::uint64_t sentBytes() const { return m_sentBytes; }
     void stop();
 
 private:
@@ -56,6 +65,7 @@
 
     IoContext& m_io;
     Handlers m_handlers;
+    std::atomic<std::uint64_t> m_sentBytes = 0;
     Tcp::acceptor m_acceptor;
     mutable std::mutex m_mutex; ///< Guards what follows. Taken last in the lock order; no callback runs under it.
     Hello m_self;
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -132,7 +132,13 @@
     });
 }
 
-void PeerLink::send(const Message& message, HybridTime stamp) { sendBytes(frame(encode(message), stamp)); }
+std::size_t PeerLink::send(const Message& message, HybridTime stamp)
+{
+    auto bytes = frame(encode(message), stamp);
+    auto n = bytes.size();
+    sendBytes(std::move(bytes));
+    return n;
+}
 
 void PeerLink::sendBytes(std::string bytes)
 {
@@ -143,6 +149,7 @@
         if (self->m_streamId >= 0)
             nghttp2_session_resume_data(self->m_session, self->m_streamId);
         self->pump();
+        self->countQueued();
     });
 }
 
@@ -182,6 +189,7 @@
         if (ec)
             return self->fail();
         self->pump();
+        self->countQueued();
     });
 }
 
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -15,6 +15,7 @@
 #include "connection/Asio.h"
 #include "message/Messages.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 
@@ -46,9 +47,11 @@
     PeerLink& operator=(const PeerLink&) = delete;
 
     void start(Handlers);
-    /// Any thread. \param stamp travels with the message, for the time line.
-    void send(const Message&, HybridTime stamp);
+    /// Any thread. \param stamp travels with the message, for the time line. \returns how many bytes the message takes.
+    std::size_t send(const Message&, HybridTime stamp);
     [[nodiscard]] Side side() const { return m_side; }
+    /// Bytes that were sent and that the system has not taken yet. Any thread.
+    [[nodiscard]] std::size_t queuedBytes() const { return m_queuedBytes; }
     /// Closes after what was sent before has left.
     void close();
 
@@ -62,6 +65,7 @@
     void write();
     void watchSilence();
     void fail();
+    void countQueued() { m_queuedBytes = m_outbox.size() - m_outboxTaken + (m_writing ? m_wire.size() : 0); }
 
     Tcp::socket m_socket;
     Side m_side;
@@ -72,6 +76,7 @@
     std::size_t m_outboxTaken = 0;
     std::string m_inbox; ///< Message bytes that are not a whole message yet.
     std::string m_wire; ///< HTTP/2 bytes being written.
+    std::atomic<std::size_t> m_queuedBytes = 0;
     std::array<char, 65536> m_readBuffer {};
     boost::asio::steady_timer m_silenceTimer;
     std::chrono::steady_clock::time_point m_lastHeard;
--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -1,6 +1,7 @@
 #include "process/ControllerRole.h"
 
 #include "base/SystemClock.h"
+#include "process/TimeHistogram.h"
 
 #include <algorithm>
 
@@ -362,12 +363,8 @@
         return AdminPages::json(history());
     if (request.path == "/config/status")
         return AdminPages::json(inForce());
-    if (request.path == "/metrics") {
-        std::lock_guard lock(m_logicMutex);
-        auto text = "# TYPE wrenhinge_log_commit_index gauge\nwrenhinge_log_commit_index " + std::to_string(m_logic->raft().commitIndex())
-            + "\n# TYPE wrenhinge_log_is_leader gauge\nwrenhinge_log_is_leader " + (m_logic->raft().isLeader() ? "1" : "0") + "\n";
-        return { 200, "text/plain; version=0.0.4", text };
-    }
+    if (request.path == "/metrics")
+        return { 200, "text/plain; version=0.0.4", metrics() };
     return AdminPages::notFound(request.path);
 }
 
@@ -405,6 +402,24 @@
     return reply;
 }
 
+/// What a controller's memory goes to stands beside its log: documents are the largest things that it holds, sends and stores.
+std::string ControllerRole::metrics() const
+{
+    auto queued = m_hub.queuedBytes();
+    std::lock_guard lock(m_logicMutex);
+    const auto& raft = m_logic->raft();
+    return metricGauge("wrenhinge_log_commit_index", static_cast<double>(raft.commitIndex()))
+        + metricGauge("wrenhinge_log_is_leader", raft.isLeader() ? 1 : 0)
+        + metricGauge("wrenhinge_log_kept_entries", static_cast<double>(raft.entriesKept()))
+        + metricGauge("wrenhinge_log_kept_document_bytes", static_cast<double>(raft.bytesKept()))
+        + metricGauge("wrenhinge_document_version", static_cast<double>(m_logic->state().document().version))
+        + metricGauge("wrenhinge_document_bytes", static_cast<double>(m_logic->state().document().text.size()))
+        + metricGauge("wrenhinge_links", static_cast<double>(m_hub.peers().size()))
+        + metricGauge("wrenhinge_links_sent_bytes_total", static_cast<double>(m_hub.sentBytes()))
+        + metricGauge("wrenhinge_links_queued_bytes", static_cast<double>(queued.all))
+        + metricGauge("wrenhinge_link_queued_bytes_most", static_cast<double>(queued.most));
+}
+
 Json ControllerRole::status() const
 {
     auto json = m_pages.identity();
--- a/src/process/ControllerRole.h
+++ b/src/process/ControllerRole.h
@@ -65,6 +65,7 @@
     AdminReply applyConfig(const AdminRequest&);
     ProposeReply proposeAndWait(Command);
     [[nodiscard]] nlohmann::json status() const;
+    [[nodiscard]] std::string metrics() const;
     [[nodiscard]] nlohmann::json history() const;
     [[nodiscard]] nlohmann::json inForce() const;
 
