Routing documents travel as changes, on request, part by part

With 4,200 routes (1 MB) and 29 gateways controllers passed their limit of 88 MB, were killed, and wrote it all anew after each start; links of 10 and 100 Mbit/s were full for seconds. Change: a command in the log is a change of the document in force (TextChange), one at a time on its way (ControllerLogic); controllers offer versions and hand out parts of 64 KB on request (DocumentSource); a gateway asks one of them for what it lacks (DocumentFollower). Ruled out: pushing changes instead of whole texts, which leaves a start of the whole site and slow links as they were.

--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -11,6 +11,7 @@
 #include "base/ResultCode.h"
 #include "base/Time.h"
 #include "message/MsgpackAdaptors.h"
+#include "message/TextChange.h"
 
 #include <map>
 #include <string>
@@ -297,11 +298,17 @@
     MSGPACK_DEFINE(name, disk)
 };
 
-/// Replaces the whole routing document, if `version` is above the one in force. The text is as its author sent it.
+/// Replaces the whole routing document, if `version` is above the one in force. The text is as its author sent it: whole, or as a
+/// change of the document that was in force where it was proposed.
 struct DocumentCommand {
     std::uint64_t version = 0;
-    std::string text;
-    MSGPACK_DEFINE(version, text)
+    std::string text; ///< Empty if there is a base.
+    std::uint64_t base = 0; ///< The version that `change` applies to; zero: none.
+    TextChange change;
+    MSGPACK_DEFINE(version, text, base, change)
+
+    /// Bytes that it takes, about.
+    [[nodiscard]] std::size_t size() const { return text.size() + change.size(); }
 };
 
 /// The members that vote from this entry on. At most one is added or removed by one entry.
@@ -500,12 +507,11 @@
     MSGPACK_DEFINE(id, to, lasts)
 };
 
-/// A routing document that was accepted. An empty text means the version that the gateway was sent before.
-struct DocumentPush {
+/// A controller holds this version of the routing document; gateways ask one of those that offer it.
+struct DocumentOffer {
     std::uint64_t version = 0;
-    std::string text;
     bool isCurrent = false; ///< The controller hears a leader and has applied all that this one has committed.
-    MSGPACK_DEFINE(version, text, isCurrent)
+    MSGPACK_DEFINE(version, isCurrent)
 };
 
 /// The peer addresses of all controllers that the sender knows.
@@ -527,9 +533,27 @@
     MSGPACK_DEFINE(ticket, isConfirmed, index)
 };
 
+/// Asks a controller for what leads from the version that a gateway holds to `version`.
+struct DocumentRequest {
+    std::uint64_t version = 0;
+    std::uint64_t held = 0; ///< Zero: none.
+    std::uint64_t offset = 0; ///< Bytes that have come already.
+    MSGPACK_DEFINE(version, held, offset)
+};
+
+/// A part of the steps (DocumentStep) from `base` to `version`.
+struct DocumentPart {
+    std::uint64_t version = 0;
+    std::uint64_t base = 0;
+    std::uint64_t offset = 0;
+    std::uint64_t total = 0; ///< Bytes of all parts.
+    std::string bytes;
+    MSGPACK_DEFINE(version, base, offset, total, bytes)
+};
+
 using Message = std::variant<Hello, Announce, SlotGrant, Refused, PrefillDone, ResponseHead, ResponseData, ResponseEnd, Failed, SealReply,
     SlotRequest, PrefillRequest, DecodeRequest, Dispatch, Cancel, Seal, Propose, ProposeReply, Watch, ConfigDelta, InForce, VoteRequest,
-    VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, Announced, Withdrawn, RegistryPulse, DocumentPush,
-    ControllerRoster, ReadIndex, ReadIndexReply, EngineLoadReport, StageChange>;
+    VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, Announced, Withdrawn, RegistryPulse, DocumentOffer,
+    ControllerRoster, ReadIndex, ReadIndexReply, EngineLoadReport, StageChange, DocumentRequest, DocumentPart>;
 
 } // namespace wrenhinge
--- a/src/process/ControlDoor.h
+++ b/src/process/ControlDoor.h
@@ -46,6 +46,9 @@
     /// Time added for each byte of a document: callers wait longer for a large one, and its replication takes longer.
     static constexpr double microsPerByte = 5;
     static constexpr Duration tryAgainAfter = 60ms;
+    /// A controller that lags behind the leader makes its change against an older version, which the leader can't use; it has caught
+    /// up by the next heartbeat, after 120 ms at most, unless changes come faster than that. Then the whole text is sent.
+    static constexpr int triesAsChange = 3;
     /// A replica's announcement of a kept connection comes every second or so.
     static constexpr Duration idleTime = 10s;
 
@@ -99,9 +102,10 @@
     {
         auto limit = patience + fromSeconds(static_cast<double>(put.text.size()) * microsPerByte / 1e6);
         DocumentCommand command { put.document.version, std::move(put.text) };
-        auto ask = [this, command](ControllerRole::Answered done) { m_role.propose(command, std::move(done)); };
+        auto ask = [this, command = std::move(command), tries = 0](
+                       ControllerRole::Answered done) mutable { m_role.propose(command, std::move(done), ++tries > triesAsChange); };
         start(
-            std::move(answer), ask, [](const ProposeReply&) { return std::string("{}"); }, limit);
+            std::move(answer), std::move(ask), [](const ProposeReply&) { return std::string("{}"); }, limit);
     }
 
     void start(std::shared_ptr<HttpAnswer> answer, std::function<void(ControllerRole::Answered)> ask,
--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -327,9 +327,9 @@
     return m_lastTicket;
 }
 
-void ControllerRole::propose(Command command, Answered answered)
+void ControllerRole::propose(Command command, Answered answered, bool isWhole)
 {
-    post(controller::LocalPropose { newTicket(std::move(answered)), std::move(command) });
+    post(controller::LocalPropose { newTicket(std::move(answered)), std::move(command), isWhole });
 }
 
 void ControllerRole::readDocument(Answered answered) { post(controller::LocalRead { newTicket(std::move(answered)) }); }
@@ -412,8 +412,8 @@
         + metricGauge("wrenhinge_log_is_leader", raft.isLeader() ? 1 : 0)
         + metricGauge("wrenhinge_log_kept_entries", static_cast<double>(raft.entriesKept()))
         + metricGauge("wrenhinge_log_kept_document_bytes", static_cast<double>(raft.bytesKept()))
-        + metricGauge("wrenhinge_document_version", static_cast<double>(m_logic->state().document().version))
-        + metricGauge("wrenhinge_document_bytes", static_cast<double>(m_logic->state().document().text.size()))
+        + metricGauge("wrenhinge_document_version", static_cast<double>(m_logic->state().document().version()))
+        + metricGauge("wrenhinge_document_bytes", static_cast<double>(m_logic->state().document().text().size()))
         + metricGauge("wrenhinge_links", static_cast<double>(m_hub.peers().size()))
         + metricGauge("wrenhinge_links_sent_bytes_total", static_cast<double>(m_hub.sentBytes()))
         + metricGauge("wrenhinge_links_queued_bytes", static_cast<double>(queued.all))
@@ -433,7 +433,7 @@
     json["commit_index"] = raft.commitIndex();
     json["config_version"] = m_logic->state().configuration().version().value();
     json["members"] = raft.members();
-    json["document_version"] = m_logic->state().document().version;
+    json["document_version"] = m_logic->state().document().version();
     json["ledger_entries"] = m_logic->state().ledger().entries().size();
     return json;
 }
--- a/src/process/ControllerRole.h
+++ b/src/process/ControllerRole.h
@@ -35,8 +35,8 @@
     void drain();
     void reload(const Settings&) { }
 
-    /// Has a command committed, through another controller if that one leads. Any thread.
-    void propose(Command, Answered);
+    /// Has a command committed, through another controller if that one leads. Any thread. \param isWhole see LocalPropose.
+    void propose(Command, Answered, bool isWhole = false);
     /// Reads the routing document linearizably: the reply has its version and text. Any thread.
     void readDocument(Answered);
     /// For the replicas' announcements; on the strand of `strand()`.
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -16,6 +16,7 @@
 #include "process/LogicDriver.h"
 #include "process/Runtime.h"
 #include "request/ForwardLogic.h"
+#include "version/DocumentFollower.h"
 
 #include <atomic>
 #include <nlohmann/json.hpp>
@@ -87,14 +88,17 @@
                },
                   [this](PeerId peer) {
                       m_runtime.log().write({ EventCode::PeerDown, {}, toString(peer) });
+                      m_documents.post(document::PeerDown { peer });
                   },
-                  [this](PeerId, const Message& message) { onMessage(message); }, [this] { return m_runtime.log().stampSend(); },
-                  [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); } })
+                  [this](PeerId peer, Message&& message) { onMessage(peer, std::move(message)); },
+                  [this] { return m_runtime.log().stampSend(); }, [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); } })
         , m_callers(m_strand,
               [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { onRequest(std::move(request), std::move(answer)); })
         , m_ready(m_strand, [this](HttpRequest&&, const std::shared_ptr<HttpAnswer>& answer) { onReadyCheck(*answer); })
         , m_pool(m_strand)
         , m_pages(settings, runtime, { [this] { return isReady(); }, [this] { return m_hub.peers(); } })
+        , m_documents(
+              runtime.timers(), [this](document::Effect& effect) { carryDocument(effect); }, document::Tick {}, randomIdentity())
         , m_driver(
               runtime.timers(), [this](forward::Effect& effect) { m_effects.push_back(std::move(effect)); }, forward::Tick {},
               ForwardLogic::Settings {
@@ -177,7 +181,7 @@
 
     void onReadyCheck(HttpAnswer& answer) { answer.reply(isReady() ? 200 : 503, {}, ""); }
 
-    void onMessage(const Message& message)
+    void onMessage(PeerId peer, Message&& message)
     {
         if (const auto* roster = std::get_if<ControllerRoster>(&message)) {
             for (const auto& address : roster->addresses)
@@ -190,22 +194,32 @@
             post(*pulse);
         } else if (const auto* change = std::get_if<StageChange>(&message)) {
             post(*change);
-        } else if (const auto* push = std::get_if<DocumentPush>(&message)) {
-            onDocument(*push);
+        } else if (std::holds_alternative<DocumentOffer>(message) || std::holds_alternative<DocumentPart>(message)) {
+            m_documents.post(document::FromPeer { peer, std::move(message) });
         }
     }
 
-    void onDocument(const DocumentPush& push)
+    void carryDocument(document::Effect& effect)
     {
-        if (push.text.empty())
-            return push.isCurrent ? post(forward::ConfirmDocument { push.version }) : void();
-        auto document = Dialect::parseDocument(push.text);
+        if (auto* ask = std::get_if<document::Ask>(&effect))
+            m_hub.send(ask->to, ask->request);
+        else if (auto* take = std::get_if<document::Take>(&effect))
+            onDocument(*take);
+        else if (auto* confirm = std::get_if<document::Confirm>(&effect))
+            post(forward::ConfirmDocument { confirm->version });
+        else if (auto* note = std::get_if<Note>(&effect))
+            m_runtime.log().write(*note);
+    }
+
+    void onDocument(const document::Take& take)
+    {
+        auto document = Dialect::parseDocument(*take.text);
         if (!document) {
             // Controllers accept only what this very decoder accepts, so theirs must be of another release.
             m_runtime.log().write({ EventCode::DocumentRefused, {}, document.error().message });
             return;
         }
-        post(forward::TakeDocument { std::move(document.value()), push.isCurrent });
+        post(forward::TakeDocument { std::move(document.value()), take.isCurrent });
     }
 
     // --- Effects out -------------------------------------------------------------------------------------------
@@ -457,6 +471,7 @@
     AdminPages m_pages;
     ForwardMetrics m_metrics;
     std::vector<forward::Effect> m_effects; ///< Guarded by the driver's lock.
+    LogicDriver<DocumentFollower, document::Event, document::Effect> m_documents; ///< Its lock is taken before m_driver's.
     LogicDriver<ForwardLogic, forward::Event, forward::Effect> m_driver;
     std::unordered_map<RequestId, Exchange> m_exchanges; ///< Only on the strand.
     std::uint64_t m_lastSequence = 0;
--- a/src/version/ControllerLogic.cpp
+++ b/src/version/ControllerLogic.cpp
@@ -4,6 +4,13 @@
 
 namespace wrenhinge {
 
+namespace {
+
+    /// Documents that wait at the leader for the one before them. Operators have a handful under way at once.
+    constexpr std::size_t mostQueuedDocuments = 16;
+
+} // namespace
+
 ControllerLogic::ControllerLogic(raft::Settings settings, raft::Recovered recovered, Instant now)
     : m_settings(settings)
     , m_raft(std::move(settings), std::move(recovered), now)
@@ -25,8 +32,9 @@
     bool isLong = m_raft.entriesKept() > compactAbove && m_raft.appliedIndex() + compactAbove / 2 > m_raft.lastIndex();
     if (isLong || m_raft.bytesKept() > compactAboveBytes)
         take(m_raft.compact(m_state.save()), now);
+    proposeQueuedDocuments(now);
     answerPendingReads();
-    pushDocument(now);
+    offerDocument(now);
     return std::exchange(m_effects, {});
 }
 
@@ -41,13 +49,13 @@
             m_raft.meet(event.peer.name, now);
     }
     if (event.peer.role == Role::Gateway)
-        m_followers[event.peer.id] = {};
+        m_documentSource.meet(event.peer.id);
 }
 
 void ControllerLogic::on(const controller::PeerDown& event, Instant)
 {
     m_watchers.erase(event.peer);
-    m_followers.erase(event.peer);
+    m_documentSource.lose(event.peer);
     if (const auto* member = memberAt(event.peer)) {
         if (auto named = m_byName.find(member->name); named != m_byName.end() && named->second == event.peer)
             m_byName.erase(named);
@@ -88,6 +96,9 @@
         onReadIndex(event.peer, *read, now);
     } else if (const auto* confirmed = std::get_if<ReadIndexReply>(&event.message)) {
         onReadIndexReply(*confirmed);
+    } else if (const auto* request = std::get_if<DocumentRequest>(&event.message)) {
+        if (auto part = m_documentSource.answer(*request, m_state.document(), now))
+            m_effects.push_back(controller::Send { event.peer, std::move(*part) });
     } else if (const auto* member = memberAt(event.peer)) {
         take(m_raft.receive(member->name, event.message, now), now);
     }
@@ -95,10 +106,11 @@
 
 void ControllerLogic::on(const controller::LocalPropose& event, Instant now)
 {
-    bool isForwardable = std::holds_alternative<DocumentCommand>(event.command);
-    if (auto leader = leaderPeer(); isForwardable && leader != PeerId()) {
+    const auto* document = std::get_if<DocumentCommand>(&event.command);
+    if (auto leader = leaderPeer(); document && leader != PeerId()) {
         m_forwarded.insert(event.ticket);
-        m_effects.push_back(controller::Send { leader, Propose { event.ticket, event.command } });
+        auto command = event.isWhole ? *document : m_state.document().commandFor(document->version, document->text);
+        m_effects.push_back(controller::Send { leader, Propose { event.ticket, std::move(command) } });
         return;
     }
     propose(event.command, { 0, {}, event.ticket, true }, now);
@@ -122,6 +134,46 @@
 {
     if (!m_raft.isLeader())
         return reply(waiting, notLeader());
+    if (auto* document = std::get_if<DocumentCommand>(&command))
+        return proposeDocument(std::move(*document), waiting, now);
+    append(std::move(command), waiting, now);
+}
+
+/// One document at a time is on its way through the log, so that each is a change of the one before it, which everybody holds.
+void ControllerLogic::proposeDocument(DocumentCommand command, Waiting waiting, Instant now)
+{
+    const auto& document = m_state.document();
+    if (m_documentQueue.size() >= mostQueuedDocuments)
+        return reply(waiting, notLeader());
+    if (m_raft.hasUnappliedDocument() || !m_documentQueue.empty()) {
+        m_documentQueue.push_back({ std::move(command), waiting });
+        return;
+    }
+    if (command.base && command.version > document.version() && command.base != document.version()) {
+        ProposeReply answer;
+        answer.code = ResultCode::ConfigUnavailable;
+        answer.text = "the change was made against another version than the leader's";
+        return reply(waiting, std::move(answer));
+    }
+    if (!command.base || command.version <= document.version())
+        command = document.commandFor(command.version, command.text);
+    append(std::move(command), waiting, now);
+}
+
+void ControllerLogic::proposeQueuedDocuments(Instant now)
+{
+    while (!m_documentQueue.empty() && !m_raft.hasUnappliedDocument()) {
+        auto next = std::move(m_documentQueue.front());
+        m_documentQueue.pop_front();
+        auto rest = std::exchange(m_documentQueue, {});
+        propose(std::move(next.command), next.waiting, now);
+        m_documentQueue = std::move(rest);
+    }
+    take(m_raft.flush(now), now);
+}
+
+void ControllerLogic::append(Command command, Waiting waiting, Instant now)
+{
     Raft::Effects effects;
     auto index = m_raft.propose(std::move(command), effects);
     waiting.term = m_raft.term();
@@ -154,6 +206,8 @@
 {
     for (const auto& [index, waiting] : std::exchange(m_waiting, {}))
         reply(waiting, notLeader());
+    for (const auto& queued : std::exchange(m_documentQueue, {}))
+        reply(queued.waiting, notLeader());
 }
 
 // --- Linearizable reads and the routing document ------------------------------------------------------------------
@@ -221,28 +275,17 @@
         if (m_raft.appliedIndex() < read.index)
             return false;
         ProposeReply answer;
-        answer.number = m_state.document().version;
-        answer.text = m_state.document().text;
+        answer.number = m_state.document().version();
+        answer.text = m_state.document().text();
         reply({ 0, {}, read.ticket, true }, std::move(answer));
         return true;
     });
 }
 
-/// Sends the document to the gateways that lack it. A gateway that starts must not serve by a document that was overtaken
-/// before it started, as a controller that was cut off may hold: the push says whether ours is the newest.
-void ControllerLogic::pushDocument(Instant now)
+void ControllerLogic::offerDocument(Instant now)
 {
-    const auto& document = m_state.document();
-    if (!document.version)
-        return;
-    bool isCurrent = m_raft.isCurrent(now);
-    for (auto& [peer, follower] : m_followers) {
-        bool isNew = follower.sent < document.version;
-        if (!isNew && (follower.isConfirmed || !isCurrent))
-            continue;
-        m_effects.push_back(controller::Send { peer, DocumentPush { document.version, isNew ? document.text : "", isCurrent } });
-        follower = { document.version, isCurrent };
-    }
+    for (const auto& [to, offer] : m_documentSource.offers(m_state.document(), m_raft.isCurrent(now), now))
+        m_effects.push_back(controller::Send { to, offer });
 }
 
 // --- Watchers ---------------------------------------------------------------------------------------------------
@@ -378,7 +421,7 @@
         m_effects.push_back(Note { accepted ? EventCode::ConfigAccepted : EventCode::ConfigRefused, {},
             accepted ? "version " + std::to_string(answer.number) : answer.text });
     }
-    if (const auto* document = std::get_if<DocumentCommand>(&entry.command))
+    if (const auto* document = std::get_if<DocumentCommand>(&entry.command); document && answer.number == document->version)
         m_effects.push_back(Note { EventCode::DocumentInForce, {}, "version " + std::to_string(document->version) });
     if (std::holds_alternative<ReplaceDiskCommand>(entry.command))
         m_effects.push_back(Note { EventCode::DiskReplaced, {}, std::get<ReplaceDiskCommand>(entry.command).name });
--- a/src/version/ControllerLogic.h
+++ b/src/version/ControllerLogic.h
@@ -8,6 +8,7 @@
 
 #include "message/PeerEvents.h"
 #include "version/ControllerState.h"
+#include "version/DocumentSource.h"
 #include "version/Raft.h"
 
 #include <map>
@@ -26,6 +27,8 @@
     struct LocalPropose {
         std::uint64_t ticket = 0;
         Command command;
+        /// Another controller that leads gets the whole text: it had no use for a change against the version here.
+        bool isWhole = false;
     };
     /// A linearizable read from this process itself. The reply is a LocalReply; its code is Ok once the state held here is new
     /// enough to answer from.
@@ -54,7 +57,7 @@
 
     /// The log is compacted when it holds more entries than this, or more bytes of routing documents.
     static constexpr std::size_t compactAbove = 4096;
-    /// A document of some hundred routes has 100 KB; forty of them fit a disk of 64 MB and a memory of 110 MB many times over.
+    /// Documents are in the log as changes; only a large one that is new altogether takes its whole size, up to a megabyte.
     static constexpr std::size_t compactAboveBytes = 4u << 20;
     /// A process that knows no configuration is answered at once only by a leader that a majority confirms; any other
     /// controller may be behind or cut off and lets it wait this long for a better answer.
@@ -100,10 +103,10 @@
         std::uint64_t ticket = 0;
         std::uint64_t index = 0;
     };
-    /// A gateway that follows the routing document.
-    struct Follower {
-        std::uint64_t sent = 0;
-        bool isConfirmed = false;
+    /// A document that waits until the one before it is applied: it is then made a change of that one.
+    struct QueuedDocument {
+        DocumentCommand command;
+        Waiting waiting;
     };
 
     void on(const controller::PeerUp&, Instant);
@@ -117,7 +120,10 @@
     void confirmReaders(std::uint64_t ticket);
     void refuseReaders();
     void answerPendingReads();
-    void pushDocument(Instant);
+    void offerDocument(Instant);
+    void proposeDocument(DocumentCommand, Waiting, Instant);
+    void proposeQueuedDocuments(Instant);
+    void append(Command, Waiting, Instant);
     [[nodiscard]] PeerId leaderPeer() const;
     void propose(Command, Waiting, Instant);
     void onWatch(PeerId, const Watch&, Instant);
@@ -143,7 +149,8 @@
     std::set<std::uint64_t> m_forwarded; ///< Tickets of this process's proposals that the leader was asked to commit.
     std::map<std::uint64_t, std::vector<Reader>> m_readers; ///< By the read's ticket at the log.
     std::vector<PendingRead> m_pendingReads;
-    std::map<PeerId, Follower> m_followers;
+    DocumentSource m_documentSource;
+    std::deque<QueuedDocument> m_documentQueue;
     Effects m_effects;
 };
 
--- a/src/version/ControllerState.cpp
+++ b/src/version/ControllerState.cpp
@@ -114,10 +114,14 @@
 /// and changes nothing; other content under the version in force therefore never takes effect.
 ProposeReply ControllerState::applyCommand(const DocumentCommand& command, std::uint64_t)
 {
-    if (command.version > m_document.version)
-        m_document = command;
     ProposeReply reply;
-    reply.number = m_document.version;
+    if (m_document.apply(command) == DocumentHistory::Outcome::OtherBase) {
+        // Another document was committed between its making and its commitment; its author's text is taken anew.
+        reply.code = ResultCode::ConfigUnavailable;
+        reply.text = "the change was made against version " + std::to_string(command.base) + ", version "
+            + std::to_string(m_document.version()) + " is in force; try again";
+    }
+    reply.number = m_document.version();
     return reply;
 }
 
@@ -130,7 +134,9 @@
 std::string ControllerState::save() const
 {
     SavedState saved { m_configuration.version(), m_configuration.number(), m_configuration.entries(),
-        { m_history.begin(), m_history.end() }, m_ledger.entries(), {}, m_disks, m_members, m_document };
+        { m_history.begin(), m_history.end() }, m_ledger.entries(), {}, m_disks, m_members, {} };
+    saved.document.version = m_document.version();
+    saved.document.text = m_document.text();
     for (const auto& [upstream, fence] : m_fences)
         saved.fences[upstream] = { fence.token, fence.orderId };
     return encodeValue(saved);
@@ -149,7 +155,7 @@
         m_fences[upstream] = { fence.first, fence.second };
     m_disks = std::move(saved->disks);
     m_members = std::move(saved->members);
-    m_document = std::move(saved->document);
+    m_document.restore(saved->document.version, std::move(saved->document.text));
     return true;
 }
 
--- a/src/version/ControllerState.h
+++ b/src/version/ControllerState.h
@@ -7,6 +7,7 @@
 
 #include "base/Safeguards.h"
 #include "version/Configuration.h"
+#include "version/DocumentHistory.h"
 #include "version/Ledger.h"
 
 #include <deque>
@@ -43,7 +44,7 @@
     /// The members of the log, if the log holds them.
     [[nodiscard]] const std::vector<std::string>& members() const { return m_members; }
     /// The routing document in force; version zero: none yet.
-    [[nodiscard]] const DocumentCommand& document() const { return m_document; }
+    [[nodiscard]] const DocumentHistory& document() const { return m_document; }
 
     /// The whole state as bytes, and back. \returns false if the bytes are not a state.
     [[nodiscard]] std::string save() const;
@@ -72,7 +73,7 @@
     std::map<std::string, Fence> m_fences;
     std::map<std::string, DiskId> m_disks;
     std::vector<std::string> m_members;
-    DocumentCommand m_document;
+    DocumentHistory m_document;
 };
 
 } // namespace wrenhinge
--- /dev/null
+++ b/src/version/DocumentFollower.cpp
@@ -0,0 +1,146 @@
+#include "version/DocumentFollower.h"
+
+#include "message/Codec.h"
+
+#include <algorithm>
+
+namespace wrenhinge {
+
+using namespace document;
+
+DocumentFollower::Effects DocumentFollower::step(const Event& event, Instant now)
+{
+    std::visit([this, now](const auto& e) { on(e, now); }, event);
+    if (!m_transfer)
+        askAnyone(now);
+    return std::exchange(m_effects, {});
+}
+
+Instant DocumentFollower::nextWake() const { return m_transfer ? m_transfer->askedAt + answerLimit : Instant::max(); }
+
+void DocumentFollower::on(const FromPeer& event, Instant now)
+{
+    if (const auto* offer = std::get_if<DocumentOffer>(&event.message))
+        onOffer(event.peer, *offer, now);
+    else if (const auto* part = std::get_if<DocumentPart>(&event.message))
+        onPart(event.peer, *part, now);
+}
+
+void DocumentFollower::on(const PeerDown& event, Instant)
+{
+    m_offers.erase(event.peer);
+    if (m_transfer && m_transfer->from == event.peer)
+        m_transfer.reset();
+}
+
+void DocumentFollower::on(const Tick&, Instant now)
+{
+    if (!m_transfer || now < m_transfer->askedAt + answerLimit)
+        return;
+    giveUp();
+}
+
+void DocumentFollower::onOffer(PeerId peer, const DocumentOffer& offer, Instant)
+{
+    m_offers[peer] = offer.version;
+    if (!offer.isCurrent)
+        return;
+    m_newest = std::max(m_newest, offer.version);
+    if (m_version && m_version >= m_newest)
+        m_effects.push_back(Confirm { m_version });
+}
+
+void DocumentFollower::onPart(PeerId peer, const DocumentPart& part, Instant now)
+{
+    if (!m_transfer || m_transfer->from != peer || part.base != m_transfer->request.held)
+        return;
+    auto& transfer = *m_transfer;
+    if (part.bytes.empty() || part.total > longestTransfer)
+        return giveUp();
+    // The controller may begin with something newer than what was asked for.
+    if (part.offset == 0 && part.version > transfer.request.version) {
+        transfer.request.version = part.version;
+        transfer.bytes.clear();
+    }
+    // An answer that had been given up on may still come beside the one to the second request.
+    if (part.version != transfer.request.version || part.offset != transfer.bytes.size())
+        return;
+    transfer.bytes += part.bytes;
+    if (transfer.bytes.size() >= part.total)
+        return finish(now);
+    transfer.request.offset = transfer.bytes.size();
+    ask(peer, transfer.request, now);
+}
+
+void DocumentFollower::finish(Instant)
+{
+    auto transfer = std::move(*m_transfer);
+    m_transfer.reset();
+    auto steps = decodeValue<std::vector<DocumentStep>>(transfer.bytes);
+    if (!steps || !apply(*steps)) {
+        // Never seen; without this a text that differs from the controllers' would stay until a restart.
+        m_effects.push_back(Note { EventCode::DocumentRefused, {},
+            "the steps from version " + std::to_string(transfer.request.held) + " to " + std::to_string(transfer.request.version)
+                + " don't fit; the whole is asked for" });
+        m_needsWhole = true;
+        m_avoided = transfer.from;
+        return;
+    }
+    m_needsWhole = false;
+    m_avoided = {};
+    m_effects.push_back(Take { m_version, m_text, m_newest && m_version >= m_newest });
+}
+
+bool DocumentFollower::apply(const std::vector<DocumentStep>& steps)
+{
+    auto version = m_version;
+    std::optional<std::string> text;
+    for (const auto& step : steps) {
+        bool isWhole = step.from == 0;
+        if ((!isWhole && step.from != version) || step.to <= version)
+            return false;
+        text = applyChange(isWhole ? std::string_view() : text ? std::string_view(*text) : std::string_view(*m_text), step.change);
+        if (!text)
+            return false;
+        version = step.to;
+    }
+    if (!text)
+        return false;
+    m_version = version;
+    m_text = std::make_shared<const std::string>(std::move(*text));
+    return true;
+}
+
+void DocumentFollower::askAnyone(Instant now)
+{
+    std::uint64_t newest = 0;
+    for (const auto& [peer, version] : m_offers)
+        newest = std::max(newest, version);
+    if (newest <= m_version)
+        return;
+    std::vector<PeerId> peers;
+    for (const auto& [peer, version] : m_offers) {
+        if (version == newest && peer != m_avoided)
+            peers.push_back(peer);
+    }
+    if (peers.empty())
+        peers.push_back(m_avoided);
+    auto chosen = std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(m_random);
+    m_transfer = Transfer { peers[chosen], { newest, m_needsWhole ? 0 : m_version, 0 }, {}, now };
+    ask(peers[chosen], m_transfer->request, now);
+}
+
+/// Another controller is asked, if another offers as much.
+void DocumentFollower::giveUp()
+{
+    m_avoided = m_transfer->from;
+    m_transfer.reset();
+}
+
+void DocumentFollower::ask(PeerId to, DocumentRequest request, Instant now)
+{
+    m_transfer->askedAt = now;
+    m_effects.push_back(Ask { to, request });
+}
+
+} // namespace wrenhinge
--- /dev/null
+++ b/src/version/DocumentFollower.h
@@ -0,0 +1,101 @@
+/** \file
+ * How a gateway keeps up with the routing document: controllers offer versions, it asks one of them for what it lacks, part by part.
+ *
+ * One request is under way at a time, so a slow link carries one part and not each version that came meanwhile; what was overtaken
+ * before it was asked for is never sent. It never goes back: a controller that was cut off may offer an older version.
+ *
+ * A state machine without I/O: `step(event, now)` returns effects.
+ */
+#pragma once
+
+#include "base/EventCode.h"
+#include "message/PeerEvents.h"
+#include "version/DocumentHistory.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <variant>
+#include <vector>
+
+namespace wrenhinge {
+
+namespace document {
+
+    // Events. FromPeer's message is a DocumentOffer or a DocumentPart; others are passed by.
+    using wrenhinge::FromPeer;
+    using wrenhinge::PeerDown;
+    struct Tick { };
+    using Event = std::variant<FromPeer, PeerDown, Tick>;
+
+    // Effects.
+    struct Ask {
+        PeerId to;
+        DocumentRequest request;
+    };
+    /// A newer version is held.
+    struct Take {
+        std::uint64_t version = 0;
+        std::shared_ptr<const std::string> text;
+        bool isCurrent = false; ///< As new as what was once offered as the newest since this process started.
+    };
+    /// The version that is held is as new as what was just offered as the newest.
+    struct Confirm {
+        std::uint64_t version = 0;
+    };
+    using Effect = std::variant<Ask, Take, Confirm, Note>;
+
+} // namespace document
+
+class DocumentFollower {
+public:
+    using Effects = std::vector<document::Effect>;
+
+    /// A controller that does not answer for this long may be gone; another one is asked. Parts of 64 KB take 52 ms on a link of 10 Mbit/s;
+    /// 29 gateways that ask one controller at once, on 100 Mbit/s, wait for 150 ms.
+    static constexpr Duration answerLimit = 1s;
+    /// A longer document is none.
+    static constexpr std::size_t longestTransfer = 64u << 20;
+
+    /// \param seed spreads the gateways over the controllers.
+    explicit DocumentFollower(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    Effects step(const document::Event&, Instant now);
+    [[nodiscard]] Instant nextWake() const;
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
+
+private:
+    /// What was asked for, and what of it has come.
+    struct Transfer {
+        PeerId from;
+        DocumentRequest request;
+        std::string bytes;
+        Instant askedAt;
+    };
+
+    void on(const document::FromPeer&, Instant);
+    void on(const document::PeerDown&, Instant);
+    void on(const document::Tick&, Instant);
+    void onOffer(PeerId, const DocumentOffer&, Instant);
+    void onPart(PeerId, const DocumentPart&, Instant);
+    void askAnyone(Instant);
+    void giveUp();
+    void ask(PeerId, DocumentRequest, Instant);
+    void finish(Instant);
+    bool apply(const std::vector<DocumentStep>&);
+
+    std::uint64_t m_version = 0;
+    std::shared_ptr<const std::string> m_text = std::make_shared<const std::string>();
+    std::uint64_t m_newest = 0; ///< The highest version that was offered as the newest.
+    std::map<PeerId, std::uint64_t> m_offers;
+    std::optional<Transfer> m_transfer;
+    PeerId m_avoided; ///< It did not answer, or not what was asked; asked again only if there is no other.
+    bool m_needsWhole = false; ///< Steps did not fit what is held here.
+    std::mt19937_64 m_random;
+    Effects m_effects;
+};
+
+} // namespace wrenhinge
--- a/src/version/Raft.cpp
+++ b/src/version/Raft.cpp
@@ -12,7 +12,7 @@
     std::size_t sizeOf(const LogEntry& entry)
     {
         const auto* document = std::get_if<DocumentCommand>(&entry.command);
-        return document ? document->text.size() : 0;
+        return document ? document->size() : 0;
     }
 
 } // namespace
@@ -474,6 +474,15 @@
     });
 }
 
+bool Raft::hasUnappliedDocument() const
+{
+    for (auto index = m_applied + 1; index <= lastIndex(); ++index) {
+        if (std::holds_alternative<DocumentCommand>(entryAt(index).command))
+            return true;
+    }
+    return false;
+}
+
 std::uint64_t Raft::termAt(std::uint64_t index) const
 {
     if (index == m_snapshot.lastIndex)
--- a/src/version/Raft.h
+++ b/src/version/Raft.h
@@ -139,6 +139,8 @@
     [[nodiscard]] std::size_t entriesKept() const { return m_entries.size(); }
     /// Bytes of routing documents in the entries that are applied and not compacted away.
     [[nodiscard]] std::size_t bytesKept() const { return m_bytesKept; }
+    /// Whether the log holds a routing document that is not applied here yet.
+    [[nodiscard]] bool hasUnappliedDocument() const;
     /// Whether a leader was heard of within the last election timeout.
     [[nodiscard]] bool hasContact(Instant now) const;
     /// The disks that count, by member.
--- /dev/null
+++ b/test/correctness/DocumentTest.cpp
@@ -0,0 +1,314 @@
+/** \file
+ * How documents change, are kept by controllers and reach gateways: as changes, part by part, on request.
+ */
+#include "message/Codec.h"
+#include "version/ControllerState.h"
+#include "version/DocumentFollower.h"
+#include "version/DocumentSource.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace wrenhinge;
+
+namespace {
+
+constexpr Instant start { std::chrono::seconds(1000) };
+
+/// A text of so many lines, one of which differs by version.
+std::string textOf(std::uint64_t version, int lines = 400)
+{
+    std::string text = "version " + std::to_string(version) + "\n";
+    for (int i = 0; i < lines; ++i)
+        text += "route " + std::to_string(i * 7919) + " to service " + std::to_string(i == lines / 2 ? version : 1) + " within 500 ms\n";
+    return text;
+}
+
+/// A text that nothing shortens.
+std::string noise(std::size_t n, unsigned seed)
+{
+    std::mt19937 random(seed);
+    std::string text;
+    for (std::size_t i = 0; i < n; ++i)
+        text += static_cast<char>('a' + random() % 26);
+    return text;
+}
+
+DocumentHistory historyUpTo(std::uint64_t version)
+{
+    DocumentHistory history;
+    for (std::uint64_t v = 1; v <= version; ++v)
+        history.apply(history.commandFor(v, textOf(v)));
+    return history;
+}
+
+/// Gateways and controllers joined by links on which the test decides.
+class Bench {
+public:
+    explicit Bench(std::size_t controllers)
+        : m_controllers(controllers)
+    {
+        for (auto& controller : m_controllers)
+            controller.source.meet(gateway);
+    }
+    void apply(std::size_t i, std::uint64_t version, const std::string& text)
+    {
+        auto& history = m_controllers[i].history;
+        history.apply(history.commandFor(version, text));
+    }
+    void cut(std::size_t i) { m_controllers[i].isSilent = true; }
+    void offer(std::size_t i, bool isCurrent = true)
+    {
+        for (const auto& [to, offer] : m_controllers[i].source.offers(m_controllers[i].history, isCurrent, now))
+            step(document::FromPeer { peerOf(i), offer });
+    }
+    /// Answers questions until there is none; \returns how many parts that took.
+    int answerAll()
+    {
+        int parts = 0;
+        while (answerOne())
+            ++parts;
+        return parts;
+    }
+    bool answerOne()
+    {
+        while (!m_asked.empty()) {
+            auto ask = m_asked.front();
+            m_asked.pop_front();
+            auto& controller = m_controllers[ask.to.value() - 1];
+            auto part = controller.isSilent ? std::nullopt : controller.source.answer(ask.request, controller.history, now);
+            if (!part)
+                continue;
+            bytes += part->bytes.size();
+            step(document::FromPeer { ask.to, std::move(*part) });
+            return true;
+        }
+        return false;
+    }
+    void step(const document::Event& event)
+    {
+        for (auto& effect : follower.step(event, now)) {
+            if (auto* ask = std::get_if<document::Ask>(&effect))
+                m_asked.push_back(*ask);
+            else if (auto* take = std::get_if<document::Take>(&effect))
+                taken.push_back(*take);
+            else if (auto* confirm = std::get_if<document::Confirm>(&effect))
+                confirmed = confirm->version;
+            else
+                ++notes;
+        }
+    }
+    static PeerId peerOf(std::size_t i) { return PeerId(i + 1); }
+
+    static constexpr PeerId gateway { 100 };
+    Instant now = start;
+    DocumentFollower follower { 1 };
+    std::vector<document::Take> taken;
+    std::uint64_t confirmed = 0;
+    std::size_t bytes = 0;
+    int notes = 0;
+
+private:
+    struct Controller {
+        DocumentHistory history;
+        DocumentSource source;
+        bool isSilent = false;
+    };
+    std::vector<Controller> m_controllers;
+    std::deque<document::Ask> m_asked;
+};
+
+} // namespace
+
+TEST_CASE("a change of a text leads to the later text, whatever the two are")
+{
+    rc::check([](const std::vector<std::uint8_t>& seedA, const std::vector<std::uint8_t>& seedB) {
+        // Long texts with common parts in other places.
+        std::string former, text;
+        for (auto n : seedA)
+            former += noise(n, n % 7u);
+        for (auto n : seedB)
+            text += noise(n, n % 7u);
+        auto change = changeBetween(former, text);
+        RC_ASSERT(applyChange(former, change) == text);
+        RC_ASSERT(applyChange(former, decodeValue<TextChange>(encodeValue(change)).value()) == text);
+    });
+    CHECK(applyChange("", wholeText("abc")) == "abc");
+    CHECK(applyChange("other", changeBetween("", "")) == "");
+}
+
+TEST_CASE("a change of one line in a large text takes a few bytes, wherever lines move")
+{
+    auto former = textOf(1);
+    CHECK(changeBetween(former, textOf(2)).size() < 100);
+    auto half = former.size() / 2;
+    CHECK(changeBetween(former, former.substr(half) + former.substr(0, half)).size() < 300);
+}
+
+TEST_CASE("a change of another text than the one it was made for is refused, also one that points beyond it")
+{
+    auto change = changeBetween(textOf(1), textOf(2));
+    auto other = textOf(1);
+    other[40] = 'x';
+    CHECK_FALSE(applyChange(other, change));
+    CHECK_FALSE(applyChange("short", change));
+    change.pieces.front().from = ~0ull;
+    change.pieces.front().length = 2;
+    CHECK_FALSE(applyChange(textOf(1), change));
+}
+
+TEST_CASE("a change that was made against another version than the one in force changes nothing and is told so")
+{
+    // Symptom: a document that nobody sent is in force. Sequence: two operators change the document at two controllers at once; both
+    // changes are made against version 1 and committed one after the other. Cause: the second would apply to version 2.
+    ControllerState state;
+    CHECK(state.apply({ 1, 1, DocumentCommand { 1, textOf(1) } }).code == ResultCode::Ok);
+    auto second = state.document().commandFor(2, textOf(2));
+    auto third = state.document().commandFor(3, textOf(3));
+    CHECK(second.base == 1);
+    CHECK(state.apply({ 1, 2, second }).code == ResultCode::Ok);
+    CHECK(state.apply({ 1, 3, third }).code == ResultCode::ConfigUnavailable);
+    CHECK(state.document().text() == textOf(2));
+    // Its author's text is made a change anew.
+    CHECK(state.apply({ 1, 4, state.document().commandFor(3, textOf(3)) }).code == ResultCode::Ok);
+    CHECK(state.document().text() == textOf(3));
+    // One that is overtaken is acknowledged without its text.
+    CHECK(state.document().commandFor(2, textOf(2)).size() < 20);
+    CHECK(state.apply({ 1, 5, state.document().commandFor(2, textOf(2)) }).number == 3);
+    ControllerState copy;
+    REQUIRE(copy.load(state.save()));
+    CHECK(copy.document().text() == textOf(3));
+    CHECK(copy.apply({ 1, 6, state.document().commandFor(4, textOf(4)) }).code == ResultCode::Ok);
+}
+
+TEST_CASE("what a controller keeps of hundreds of changes is a part of one document")
+{
+    auto history = historyUpTo(400);
+    std::size_t kept = 0;
+    for (const auto& step : history.stepsFrom(390))
+        kept += step.change.size();
+    CHECK(kept < textOf(1).size() / 2);
+    // Whoever lacks more than is kept gets the whole.
+    CHECK(history.stepsFrom(1).size() == 1);
+    CHECK(history.stepsFrom(1).front().from == 0);
+}
+
+TEST_CASE("a gateway that starts gets the whole once, from one controller, and changes from then on")
+{
+    Bench bench(3);
+    for (std::size_t i = 0; i < 3; ++i) {
+        bench.apply(i, 1, textOf(1, 4000));
+        bench.offer(i);
+    }
+    CHECK(bench.answerAll() > 1);
+    REQUIRE(bench.taken.size() == 1);
+    CHECK(*bench.taken.back().text == textOf(1, 4000));
+    CHECK(bench.taken.back().isCurrent);
+    CHECK(bench.bytes < textOf(1, 4000).size() + 1000);
+    bench.bytes = 0;
+    for (std::size_t i = 0; i < 3; ++i) {
+        bench.apply(i, 2, textOf(2, 4000));
+        bench.offer(i);
+    }
+    bench.answerAll();
+    REQUIRE(bench.taken.size() == 2);
+    CHECK(*bench.taken.back().text == textOf(2, 4000));
+    CHECK(bench.bytes < 500);
+}
+
+TEST_CASE("versions that come while a part is under way are passed over, and a large transfer goes on beside them")
+{
+    // Symptom: a gateway on a slow link never obeys a change. Sequence: documents change faster than the link carries one whole.
+    // Cause: each new version makes the transfer begin anew.
+    Bench bench(1);
+    bench.apply(0, 1, noise(300000, 1));
+    bench.offer(0);
+    auto text = noise(300000, 1);
+    for (std::uint64_t version = 2; version <= 4; ++version) {
+        REQUIRE(bench.answerOne());
+        text += "x";
+        bench.apply(0, version, text);
+        bench.offer(0);
+    }
+    bench.answerAll();
+    REQUIRE(bench.taken.size() == 2);
+    CHECK(bench.taken.front().version == 1);
+    CHECK(*bench.taken.back().text == text);
+}
+
+TEST_CASE("a controller that does not answer is given up for another one")
+{
+    // Symptom: a gateway stays at an old version though controllers hold a newer one. Sequence: the controller that it asked is cut off
+    // without a reset. Cause: nobody else was asked.
+    Bench bench(2);
+    bench.cut(0);
+    bench.cut(1);
+    for (std::size_t i = 0; i < 2; ++i) {
+        bench.apply(i, 1, textOf(1));
+        bench.offer(i);
+    }
+    CHECK(bench.answerAll() == 0);
+    // Whichever was asked first, one of the next two questions goes to the other, also if both stay silent for a while.
+    for (int i = 0; i < 3; ++i) {
+        bench.now = bench.follower.nextWake();
+        bench.step(document::Tick {});
+        CHECK(bench.answerAll() == 0);
+    }
+    CHECK(bench.follower.nextWake() < Instant::max());
+}
+
+TEST_CASE("a link that ends within a transfer is made up for by another controller")
+{
+    Bench bench(2);
+    for (std::size_t i = 0; i < 2; ++i) {
+        bench.apply(i, 1, noise(200000, 3));
+        bench.offer(i);
+    }
+    REQUIRE(bench.answerOne());
+    bench.step(document::PeerDown { Bench::peerOf(0) });
+    bench.answerAll();
+    REQUIRE(bench.taken.size() == 1);
+    CHECK(*bench.taken.back().text == noise(200000, 3));
+}
+
+TEST_CASE("an older version that a controller offers late is not gone back to, and does not confirm")
+{
+    // Symptom: requests are handled by an older document after a newer one. Cause: a controller that was cut off pushes what it has.
+    Bench bench(2);
+    bench.apply(0, 5, textOf(5));
+    bench.offer(0, false);
+    bench.answerAll();
+    REQUIRE(bench.taken.size() == 1);
+    CHECK_FALSE(bench.taken.back().isCurrent);
+    bench.apply(1, 4, textOf(4));
+    bench.offer(1, true);
+    bench.answerAll();
+    CHECK(bench.taken.size() == 1);
+    CHECK(bench.confirmed == 5);
+    // Offered as the newest, a version that is not here yet confirms nothing.
+    bench.confirmed = 0;
+    bench.apply(1, 6, textOf(6));
+    bench.offer(1, true);
+    CHECK(bench.confirmed == 0);
+    bench.answerAll();
+    CHECK(bench.taken.back().isCurrent);
+}
+
+TEST_CASE("steps that do not fit what a gateway holds make it ask for the whole")
+{
+    Bench bench(1);
+    bench.apply(0, 1, textOf(1));
+    bench.offer(0);
+    bench.answerAll();
+    // A part that claims to be the steps and isn't.
+    bench.apply(0, 2, textOf(2));
+    bench.offer(0);
+    std::vector<DocumentStep> steps { { 1, 2, changeBetween(noise(9, 9), textOf(9)) } };
+    steps.front().change.checksum = 1;
+    auto bytes = encodeValue(steps);
+    bench.step(document::FromPeer { Bench::peerOf(0), DocumentPart { 2, 1, 0, bytes.size(), bytes } });
+    CHECK(bench.notes == 1);
+    bench.answerAll();
+    CHECK(*bench.taken.back().text == textOf(2));
+}
--- a/test/correctness/RoutingTest.cpp
+++ b/test/correctness/RoutingTest.cpp
@@ -72,9 +72,9 @@
     CHECK(state.apply({ 1, 1, DocumentCommand { 7, "seven" } }).code == ResultCode::Ok);
     CHECK(state.apply({ 1, 2, DocumentCommand { 5, "five" } }).code == ResultCode::Ok);
     CHECK(state.apply({ 1, 3, DocumentCommand { 7, "other" } }).code == ResultCode::Ok);
-    CHECK(state.document().text == "seven");
+    CHECK(state.document().text() == "seven");
     ControllerState copy;
     REQUIRE(copy.load(state.save()));
-    CHECK(copy.document().version == 7);
-    CHECK(copy.document().text == "seven");
+    CHECK(copy.document().version() == 7);
+    CHECK(copy.document().text() == "seven");
 }
