--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -16,6 +16,9 @@
     constexpr std::size_t logicalBytes = 4;
     constexpr std::size_t prefixBytes = lengthBytes + wallBytes + logicalBytes;
     constexpr std::size_t compactAbove = 1u << 20;
+    /// Bytes that are handed to the system at a time. Without a bound all that waits is held a second time, as HTTP/2 frames, and an answer
+    /// to a PING waits behind it.
+    constexpr std::size_t bytesPerWrite = 128 * 1024;
 
     nghttp2_nv headerField(std::string_view name, std::string_view value)
     {
@@ -146,6 +149,8 @@
         if (self->m_closed)
             return;
         self->m_outbox += bytes;
+        if (self->m_outbox.size() - self->m_outboxTaken > queueLimit)
+            return self->fail();
         if (self->m_streamId >= 0)
             nghttp2_session_resume_data(self->m_session, self->m_streamId);
         self->pump();
@@ -166,7 +171,7 @@
     if (m_writing || m_closed)
         return;
     m_wire.clear();
-    for (;;) {
+    while (m_wire.size() < bytesPerWrite) {
         const std::uint8_t* data = nullptr;
         auto n = nghttp2_session_mem_send(m_session, &data);
         if (n < 0)
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -37,6 +37,9 @@
     static constexpr Duration pingAfter = 400ms;
     /// After this long without a byte the peer counts as gone.
     static constexpr Duration silenceLimit = 1500ms;
+    /// A peer that leaves this much unread is slower than what it is told, or does not read; its link is given up, and what it must know
+    /// is told anew over the next one. The largest messages are parts of 64 KB and entries of the log of up to a megabyte.
+    static constexpr std::size_t queueLimit = 8u << 20;
     /// A longer message is a protocol error.
     static constexpr std::size_t messageLimit = 64u << 20;
 
