A request that meets the end of its connection's idle time is answered

Cause (proved by tests): Asio's timer can't take back a wait that has ended. When the process stood still, the reactor hands over the bytes first and the ended wait after them. The request was passed on, and the idle time's handler then closed its connection, in state Lingering, so that the decisions were never told: a connection closed without an answer at the moment at which its request reached a replica, and the request even sent once more. In the other order the connection began to close and read the whole request only to throw it away: neither an answer nor a refusal. The header's and body's limits refused with 408, a promise that the request has not run, what had been passed on.

Change: Timer reports no wait that was replaced, cancelled or destroyed. Before a limit strikes, bytes that are already here are read. A connection has one way out, which tells whoever works on the answer. After the last answer a connection is Ending, and reads nothing as a request. closeIdle spares connections with bytes waiting. The idle time begins when the answer has left and follows changed limits; the parser's limits are those of the request's first byte, not those of when the connection began to wait.

Found on the way, each with its test: a further request was passed on while the last answer of its connection was being written, and cut when that had left; an answer that its caller read slowly was cut at the idle time; 413 by limits no longer in force.

Ruled out: a kernel close (the read would report it to the decisions).

A call now has a number.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "base/SystemClock.h"
 #include "connection/Endpoint.h"
 #include "connection/HttpText.h"
+#include "connection/Timer.h"
 
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -20,6 +21,9 @@
     constexpr Duration lingerTime = 1s;
     constexpr int callerSilenceMs = 10000;
     constexpr Duration acceptAgainAfter = 50ms;
+    /// After a time limit has ended, bytes that were already here are read for this long before it strikes. Reading them needs one
+    /// turn of the loop; they were late only because this process stood still.
+    constexpr Duration lastLook = 10ms;
 
     using RequestParser = http::request_parser<http::string_body>;
 
@@ -64,7 +68,8 @@
     }
 
     [[nodiscard]] bool isBusy() const { return m_state == State::Reading || m_state == State::Answering || m_isWriting; }
-    [[nodiscard]] bool isIdle() const { return m_state == State::Idle && !m_isWriting; }
+    /// Whether nothing is in progress and nothing has come that is yet to be read: closing it now loses no request.
+    [[nodiscard]] bool isIdle() { return m_state == State::Idle && !m_isWriting && isQuiet(m_socket); }
 
     void reply(int status, const HeaderList& headers, std::string body) override
     {
@@ -123,42 +128,66 @@
         close();
     }
 
-    void closeNow() { close(); }
-
     /// Ends the sending side first, so that the caller sees a clean end and not a reset.
     void closeGently()
     {
         if (m_state == State::Closed || m_state == State::Lingering)
             return;
-        m_state = State::Lingering;
+        leave(State::Lingering);
         m_output.clear();
         ErrorCode ignored;
         m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
-        arm(lingerTime, [this] { close(); });
+        m_timer.start(lingerTime, [self = shared_from_this()] { self->close(); });
     }
 
 private:
-    enum class State : std::uint8_t { Idle, Reading, Answering, Lingering, Closed };
+    enum class State : std::uint8_t {
+        Idle, ///< Between requests.
+        Reading,
+        Answering, ///< A request was handed over, and its answer is not complete.
+        Ending, ///< The last answer is being written; what comes is not read as a request any more.
+        Lingering, ///< The sending side is closed.
+        Closed,
+    };
 
     void expectRequest()
     {
         m_state = State::Idle;
-        m_parser.emplace();
-        m_parser->eager(true);
-        m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.headerBytes));
-        m_parser->body_limit(m_server.m_limits.bodyBytes);
+        m_parser.reset();
         m_sentContinue = false;
         m_isChunked = false;
         onGone = nullptr;
-        arm(m_server.m_limits.idleTime, [this] { closeGently(); });
+        if (!m_isWriting)
+            waitForRequest();
+    }
+
+    /// Counts the idle time from now on: an answer that its caller still takes is no idle time.
+    void waitForRequest()
+    {
+        m_idleSince = currentInstant();
+        limitTime(m_server.m_limits.idleTime, &Connection::idleTimeEnded);
     }
 
-    void arm(Duration after, std::function<void()> f)
+    void idleTimeEnded()
     {
-        m_timer.expires_after(after);
-        m_timer.async_wait([self = shared_from_this(), f = std::move(f)](ErrorCode ec) {
-            if (!ec && self->m_state != State::Closed)
-                f();
+        // The limits may have changed meanwhile; callers go by the present ones.
+        auto left = m_idleSince + m_server.m_limits.idleTime - currentInstant();
+        if (left > Duration::zero())
+            return limitTime(left, &Connection::idleTimeEnded);
+        closeGently();
+    }
+
+    void headerTimeEnded() { refuse(408, "the request's header did not come in time"); }
+    void bodyTimeEnded() { refuse(408, "the request's body did not come in time"); }
+
+    /// Calls `strike` after `limit`, unless the connection gets on before. What has come by then is read first: a process that
+    /// stood still would else close on a whole request that its caller had sent in time.
+    void limitTime(Duration limit, void (Connection::*strike)())
+    {
+        m_timer.start(limit, [self = shared_from_this(), strike] {
+            if (isQuiet(self->m_socket))
+                return (*self.*strike)();
+            self->m_timer.start(lastLook, [self, strike] { (*self.*strike)(); });
         });
     }
 
@@ -180,7 +209,7 @@
             return;
         if (ec)
             return close();
-        if (m_state != State::Lingering) {
+        if (m_state != State::Lingering && m_state != State::Ending) {
             boost::asio::buffer_copy(m_input.prepare(n), boost::asio::buffer(m_chunk, n));
             m_input.commit(n);
             if (m_state != State::Answering)
@@ -193,11 +222,8 @@
     {
         if (!m_input.size())
             return;
-        if (m_state == State::Idle) {
-            m_state = State::Reading;
-            m_startedAt = currentInstant();
-            arm(m_server.m_limits.headerTime, [this] { refuse(408, "the request's header did not come in time"); });
-        }
+        if (m_state == State::Idle)
+            beginRequest();
         ErrorCode ec;
         while (m_input.size() && !m_parser->is_done()) {
             bool hadHeader = m_parser->is_header_done();
@@ -206,7 +232,7 @@
             if (m_parser->is_header_done() && !hadHeader) {
                 if (auto fault = framingFault(m_parser->get()))
                     return refuse(400, *fault);
-                arm(m_server.m_limits.idleTime, [this] { refuse(408, "the request's body did not come in time"); });
+                limitTime(m_server.m_limits.idleTime, &Connection::bodyTimeEnded);
             }
             if (ec)
                 break;
@@ -221,6 +247,18 @@
         }
     }
 
+    /// The limits are those of now: a connection may have waited since before they changed.
+    void beginRequest()
+    {
+        m_state = State::Reading;
+        m_startedAt = currentInstant();
+        m_parser.emplace();
+        m_parser->eager(true);
+        m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.headerBytes));
+        m_parser->body_limit(m_server.m_limits.bodyBytes);
+        limitTime(m_server.m_limits.headerTime, &Connection::headerTimeEnded);
+    }
+
     static int statusOf(ErrorCode ec)
     {
         if (ec == http::error::header_limit)
@@ -274,8 +312,8 @@
         // The head of a long answer may have left before the server began to close; kept open after it, the connection would
         // bring another request at a time when nobody can answer it any more.
         if (!m_keepAlive || m_server.m_isClosed) {
-            m_closesAfterWrite = true;
-            m_state = State::Idle;
+            m_state = State::Ending;
+            m_timer.cancel();
             if (!m_isWriting)
                 closeGently();
             return;
@@ -283,7 +321,7 @@
         expectRequest();
         // Answered from within parse() or by an event: the next request may already be here.
         boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-            if (self->m_state == State::Idle && !self->m_closesAfterWrite)
+            if (self->m_state == State::Idle)
                 self->parse();
             self->read();
         });
@@ -309,8 +347,10 @@
                 return self->close();
             if (!self->m_output.empty())
                 return self->flush();
-            if (self->m_closesAfterWrite)
+            if (self->m_state == State::Ending)
                 self->closeGently();
+            else if (self->m_state == State::Idle)
+                self->waitForRequest();
         });
     }
 
@@ -318,26 +358,34 @@
     {
         if (m_state == State::Closed)
             return;
-        bool wasAnswering = m_state == State::Answering;
-        m_state = State::Closed;
+        auto self = shared_from_this();
         m_timer.cancel();
         ErrorCode ignored;
         m_socket.close(ignored);
-        auto self = shared_from_this();
         m_server.m_connections.erase(self);
+        leave(State::Closed);
+    }
+
+    /// The one way out, to Lingering or Closed. Whoever works on the answer hears of it: unheard, a request that was passed on would
+    /// be worked on, and even sent once more, for nobody.
+    void leave(State next)
+    {
+        bool wasAnswering = m_state == State::Answering;
+        m_state = next;
         if (auto gone = std::exchange(onGone, nullptr); gone && wasAnswering)
             gone();
     }
 
     HttpServer& m_server;
     Tcp::socket m_socket;
-    boost::asio::steady_timer m_timer;
+    Timer m_timer; ///< Of what limits the present state.
     boost::beast::flat_buffer m_input;
     std::array<char, 4096> m_chunk {};
     std::optional<RequestParser> m_parser;
     std::string m_output;
     std::string m_inFlight;
     Instant m_startedAt;
+    Instant m_idleSince;
     State m_state = State::Idle;
     unsigned m_version = 11;
     bool m_isReading = false;
@@ -346,7 +394,6 @@
     bool m_isChunked = false;
     bool m_keepAlive = true;
     bool m_sentContinue = false;
-    bool m_closesAfterWrite = false;
 };
 
 HttpServer::HttpServer(Strand strand, Handler handler)
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -3,6 +3,7 @@
 #include "base/SystemClock.h"
 #include "connection/Endpoint.h"
 #include "connection/HttpText.h"
+#include "connection/Timer.h"
 
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -53,11 +54,7 @@
             boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail("no address"); });
             return;
         }
-        m_timer.expires_after(connectLimit);
-        m_timer.async_wait([self = shared_from_this()](ErrorCode ec) {
-            if (!ec)
-                self->fail("no connection in time");
-        });
+        m_timer.start(connectLimit, [self = shared_from_this()] { self->fail("no connection in time"); });
         m_socket.async_connect(endpoint.value(), [self = shared_from_this()](ErrorCode ec) {
             if (self->m_isClosed)
                 return;
@@ -73,8 +70,10 @@
         });
     }
 
-    void start(UpstreamRequest request, UpstreamCallHandlers handlers)
+    /// \returns the call's number on this connection.
+    std::uint64_t start(UpstreamRequest request, UpstreamCallHandlers handlers)
     {
+        ++m_call;
         m_request = std::move(request);
         m_handlers = std::move(handlers);
         m_isBusy = true;
@@ -83,17 +82,21 @@
         m_keepAlive = true;
         expectAnswer();
         if (!m_isConnected)
-            return;
+            return m_call;
         // The caller still has to learn of this call: nothing may be reported before it returns.
         boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
             if (self->m_isClosed || !self->m_isBusy)
                 return;
             self->write();
         });
+        return m_call;
     }
 
-    void cancel()
+    /// Ends the call if it is still in progress; a later one on this connection is somebody else's.
+    void cancel(std::uint64_t call)
     {
+        if (call != m_call || !m_isBusy)
+            return;
         m_handlers = {};
         m_isBusy = false;
         close();
@@ -267,7 +270,7 @@
     UpstreamPool& m_pool;
     std::string m_replica;
     Tcp::socket m_socket;
-    boost::asio::steady_timer m_timer;
+    Timer m_timer; ///< Limits the making of the connection.
     boost::beast::flat_buffer m_input;
     std::array<char, 4096> m_chunk {};
     std::optional<ResponseParser> m_parser;
@@ -275,6 +278,7 @@
     UpstreamCallHandlers m_handlers;
     UpstreamHead m_head;
     Instant m_reusableUntil;
+    std::uint64_t m_call = 0;
     bool m_isConnected = false;
     bool m_isBusy = false;
     bool m_isWritten = false;
@@ -301,16 +305,16 @@
         connection = std::make_shared<Connection>(*this, replica, m_strand);
         ++m_opened;
     }
-    connection->start(std::move(request), std::move(handlers));
+    auto number = connection->start(std::move(request), std::move(handlers));
     if (isNew)
         connection->connect(address);
-    return connection;
+    return { connection, number };
 }
 
 void UpstreamPool::cancel(const Call& call)
 {
-    if (auto connection = call.lock())
-        connection->cancel();
+    if (auto connection = call.connection.lock())
+        connection->cancel(call.number);
 }
 
 /// The connection that was used last: the others then reach their idle end and are closed.
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -68,8 +68,12 @@
     static constexpr Duration idleUnstated = 300ms;
 
     class Connection;
-    /// A call in progress. Destroying the handle changes nothing; `cancel` closes the connection at once.
-    using Call = std::weak_ptr<Connection>;
+    /// A call. Destroying the handle changes nothing; `cancel` closes the connection at once if the call is still in progress. Its
+    /// connection may meanwhile serve another one: cancelled by mistake, that would neither end nor fail.
+    struct Call {
+        std::weak_ptr<Connection> connection;
+        std::uint64_t number = 0; ///< Which call of the connection.
+    };
 
     explicit UpstreamPool(Strand);
     ~UpstreamPool();
--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -184,7 +184,9 @@
         };
         UpstreamRequest request;
         request.bytes = get("/");
-        m_pool.call("r", address, request, handlers);
+        m_lastCall = m_pool.call("r", address, request, handlers);
+        if (auto f = std::exchange(m_onStart, nullptr))
+            f();
         while (!outcome.isWhole && !outcome.hasFailed)
             m_io.run_one();
         return outcome;
@@ -192,8 +194,18 @@
     /// Lets what is under way arrive.
     void poll() { m_io.poll(); }
     std::uint64_t opened() const { return m_pool.opened(); }
+    UpstreamPool::Call lastCall() const { return m_lastCall; }
+    /// Calls `f` once, as soon as the next call has begun.
+    void onStart(std::function<void()> f) { m_onStart = std::move(f); }
+    /// Runs nothing for this long when the next call has begun.
+    void standStillFor(Duration d)
+    {
+        onStart([d] { std::this_thread::sleep_for(d); });
+    }
 
 private:
+    UpstreamPool::Call m_lastCall;
+    std::function<void()> m_onStart;
     IoContext m_io { 1 };
     boost::asio::executor_work_guard<IoContext::executor_type> m_work { m_io.get_executor() };
     UpstreamPool m_pool { boost::asio::make_strand(m_io) };
@@ -288,6 +300,269 @@
     server.call([&kept] { kept.reset(); });
 }
 
+// --- Time limits that end while the process stands still --------------------------------------------------------
+//
+// A process that shares its core, or that parses a large document, runs nothing for tens to hundreds of ms. Bytes that came and
+// time limits that ended meanwhile are then found at once, and the bytes are handled first. Asio's timer can't take a wait back
+// that has already ended: its handler is called without an error, whatever was cancelled or armed anew before it.
+
+namespace {
+
+/// A server that runs only when the test lets it, and what it was asked.
+class HandRunServer {
+public:
+    explicit HandRunServer(const HttpServer::Limits& limits)
+        : m_server(m_strand, [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) {
+            requests.push_back(std::move(request));
+            answer->onGone = [this] { ++gone; };
+            answers.push_back(std::move(answer));
+        })
+    {
+        m_server.setLimits(limits);
+        address = m_server.listen("127.0.0.1:0").value();
+    }
+    ~HandRunServer()
+    {
+        // An answer's connection may not outlive the loop that it runs on.
+        answers.clear();
+    }
+    /// Runs what is ready, until nothing is.
+    void run()
+    {
+        while (io.poll()) { }
+    }
+    /// Runs until so many requests have come.
+    void awaitRequests(std::size_t n)
+    {
+        while (requests.size() < n)
+            io.run_one();
+    }
+    /// Calls `f` as soon as the loop runs again, before any limit that was set later and has ended too.
+    void callFirst(std::function<void()> f)
+    {
+        m_first.expires_after(1ms);
+        m_first.async_wait([f = std::move(f)](ErrorCode) { f(); });
+    }
+    HttpServer& server() { return m_server; }
+
+    IoContext io { 1 };
+    std::string address;
+    std::vector<HttpRequest> requests;
+    std::vector<std::shared_ptr<HttpAnswer>> answers;
+    int gone = 0;
+
+private:
+    boost::asio::executor_work_guard<IoContext::executor_type> m_work { io.get_executor() };
+    Strand m_strand { boost::asio::make_strand(io) };
+    boost::asio::steady_timer m_first { m_strand };
+    HttpServer m_server;
+};
+
+constexpr Duration shortLimit = 30ms;
+/// The process stands still until a limit of `shortLimit` has ended.
+void standStill() { std::this_thread::sleep_for(2 * shortLimit); }
+
+HttpServer::Limits shortIdleTime()
+{
+    HttpServer::Limits limits;
+    limits.idleTime = shortLimit;
+    return limits;
+}
+
+HttpServer::Limits shortHeaderTime()
+{
+    HttpServer::Limits limits;
+    limits.headerTime = shortLimit;
+    return limits;
+}
+
+bool isWholeAnswer(const std::string& text) { return text.find("HTTP/1.1 200") != std::string::npos && text.ends_with("whole"); }
+
+} // namespace
+
+TEST_CASE("a request that is found together with the end of the idle time is answered")
+{
+    // Symptom: a request on a kept connection reaches a replica, and its connection ends at that moment without an answer; the
+    // decisions don't hear of it and even send the request once more. Sequence: the process stands still; meanwhile the request
+    // comes and the idle time ends; the request is read and passed on, then the idle time's handler closes the connection. Cause:
+    // the wait was cancelled after it had ended, and what closes an idle connection did not look whether it still was idle.
+    HandRunServer server(shortIdleTime());
+    Client client(server.address);
+    client.send(get("/1"));
+    server.awaitRequests(1);
+    server.answers[0]->reply(200, {}, "first");
+    server.run();
+    client.readTo("first");
+    client.send(get("/2"));
+    standStill();
+    server.run();
+    REQUIRE(server.requests.size() == 2);
+    server.answers[1]->reply(200, { { "Connection", "close" } }, "whole");
+    server.run();
+    CHECK(isWholeAnswer(client.readTo("whole")));
+    CHECK(server.gone == 0);
+}
+
+TEST_CASE("a caller that leaves just as the idle time ended is still noticed")
+{
+    // Symptom: a replica goes on with work that nobody waits for. Sequence and cause as above: the connection counted as ended
+    // already, so that its real end was told to nobody.
+    HandRunServer server(shortIdleTime());
+    Client client(server.address);
+    server.callFirst([] {});
+    server.run();
+    client.send(get("/1"));
+    standStill();
+    server.run();
+    REQUIRE(server.requests.size() == 1);
+    client.socket().close();
+    server.run();
+    CHECK(server.gone == 1);
+}
+
+TEST_CASE("bytes that came before the idle time was noticed to be over are served")
+{
+    // Symptom: a whole request gets neither an answer nor a refusal beside a large change of the configuration. Sequence: the
+    // process stands still; the idle time ends, the request comes; the idle time's handler runs first, and the request is read and
+    // thrown away by a connection that is closing. Cause: nobody looked whether something had come.
+    HandRunServer server(shortIdleTime());
+    Client client(server.address);
+    client.send(get("/1"));
+    server.awaitRequests(1);
+    server.answers[0]->reply(200, {}, "first");
+    server.run();
+    client.readTo("first");
+    server.callFirst([&client] { client.send(get("/2")); });
+    standStill();
+    server.run();
+    server.awaitRequests(2);
+    server.answers[1]->reply(200, {}, "whole");
+    server.run();
+    CHECK(isWholeAnswer(client.readTo("whole")));
+}
+
+TEST_CASE("a request whose last bytes are found together with the end of its time is not refused as well")
+{
+    // Symptom: 408, which promises that a request has not run, for one that a replica runs. Sequence: the process stands still while
+    // the rest of a header comes and the header's time ends; the request is passed on, then refused.
+    HandRunServer server(shortHeaderTime());
+    Client client(server.address);
+    client.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n");
+    server.callFirst([] {});
+    server.io.run_one();
+    server.run();
+    client.send("\r\nab");
+    standStill();
+    server.run();
+    REQUIRE(server.requests.size() == 1);
+    server.answers[0]->reply(200, {}, "whole");
+    server.run();
+    auto text = client.readTo("whole");
+    CHECK(isWholeAnswer(text));
+    CHECK(text.find("408") == std::string::npos);
+}
+
+TEST_CASE("a connection that is about to end takes no further request")
+{
+    // Symptom: a request reaches a replica and its connection ends without an answer. Sequence: the last answer of a connection is
+    // still being written, since its caller reads slowly; the caller sends another request; it is passed on, and the connection is
+    // closed when the former answer has left.
+    HandRunServer server({});
+    Client client(server.address);
+    client.send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    server.awaitRequests(1);
+    // More than the buffers of both sides take.
+    constexpr std::size_t largeAnswer = 32u << 20;
+    server.answers[0]->reply(200, {}, std::string(largeAnswer, 'x'));
+    client.send(get("/2"));
+    server.run();
+    auto reading = std::async(std::launch::async, [&client] { return client.readAll(); });
+    while (reading.wait_for(0s) != std::future_status::ready)
+        server.io.poll();
+    CHECK(reading.get().size() > largeAnswer);
+    CHECK(server.requests.size() == 1);
+}
+
+TEST_CASE("an answer that its caller reads slowly does not count as idle time")
+{
+    // Symptom: an answer is cut though its caller still reads it. Sequence: the whole answer is handed to the connection, and the
+    // idle time ends before the caller has taken all of it.
+    HandRunServer server(shortIdleTime());
+    Client client(server.address);
+    client.send(get("/1"));
+    server.awaitRequests(1);
+    constexpr std::size_t largeAnswer = 32u << 20;
+    server.answers[0]->reply(200, {}, std::string(largeAnswer, 'x') + "whole");
+    server.run();
+    standStill();
+    server.run();
+    auto reading = std::async(std::launch::async, [&client] { return client.readTo("whole"); });
+    while (reading.wait_for(0s) != std::future_status::ready)
+        server.io.poll();
+    CHECK(isWholeAnswer(reading.get()));
+}
+
+TEST_CASE("a longer idle time holds for connections that wait already")
+{
+    // Symptom: callers' requests cross our close, since they go by the new idle time. Sequence: a change of the configuration makes
+    // it longer while connections wait.
+    HandRunServer server(shortIdleTime());
+    Client client(server.address);
+    client.send(get("/1"));
+    server.awaitRequests(1);
+    server.answers[0]->reply(200, {}, "first");
+    server.run();
+    client.readTo("first");
+    server.server().setLimits({});
+    standStill();
+    server.run();
+    client.send(get("/2"));
+    server.awaitRequests(2);
+    server.answers[1]->reply(200, {}, "whole");
+    server.run();
+    CHECK(isWholeAnswer(client.readTo("whole")));
+}
+
+TEST_CASE("a larger limit of bodies holds for connections that wait already")
+{
+    // Symptom: 413 for a body that the configuration in force allows. Sequence: a connection waits for its next request, a change of
+    // the configuration allows larger bodies, the request comes. Cause: the limit was taken when the connection began to wait.
+    HttpServer::Limits limits;
+    limits.bodyBytes = 1;
+    HandRunServer server(limits);
+    Client client(server.address);
+    client.send(get("/1"));
+    server.awaitRequests(1);
+    server.answers[0]->reply(200, {}, "first");
+    server.run();
+    client.readTo("first");
+    server.server().setLimits({});
+    client.send("POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab");
+    server.awaitRequests(2);
+    CHECK(server.requests[1].body == "ab");
+}
+
+TEST_CASE("a request that has come before idle connections are closed is answered")
+{
+    // Symptom: a whole request gets neither an answer nor a refusal when its gateway stops. Sequence: the request has come but is
+    // not read yet when the server closes its idle connections.
+    HandRunServer server({});
+    Client client(server.address);
+    client.send(get("/1"));
+    server.awaitRequests(1);
+    server.answers[0]->reply(200, {}, "first");
+    server.run();
+    client.readTo("first");
+    client.send(get("/2"));
+    server.server().closeIdle();
+    server.awaitRequests(2);
+    server.answers[1]->reply(200, {}, "whole");
+    server.run();
+    auto text = client.readAll();
+    CHECK(isWholeAnswer(text));
+    CHECK(text.find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("a stream that is broken off does not look complete")
 {
     Server server([](HttpRequest&&, const std::shared_ptr<HttpAnswer>& answer) {
@@ -381,6 +656,38 @@
     CHECK(caller.opened() == 2);
 }
 
+TEST_CASE("a connection that is found together with the end of its time limit is used")
+{
+    // Symptom: a request that may not be repeated ends with a failure though its replica runs it. Sequence: the process stands still
+    // while a connection to the replica is made and the time for that ends; the request is sent, then given up.
+    Replica replica([](Tcp::socket socket) {
+        while (!readRequest(socket).empty())
+            writeText(socket, whole);
+    });
+    Caller caller;
+    caller.standStillFor(UpstreamPool::connectLimit + 50ms);
+    auto outcome = caller.call(replica.address());
+    CHECK(outcome.isWhole);
+    CHECK(!outcome.hasFailed);
+}
+
+TEST_CASE("cancelling a call that has ended leaves the next call on its connection alone")
+{
+    // Symptom: a request gets no answer, and its call neither ends nor fails. Sequence: a call is given up, but its answer had come
+    // just before; the next call takes the connection; what gave the first one up closes it. Cause: a call was known by its
+    // connection only.
+    Replica replica([](Tcp::socket socket) {
+        while (!readRequest(socket).empty())
+            writeText(socket, whole);
+    });
+    Caller caller;
+    CHECK(caller.call(replica.address()).isWhole);
+    auto former = caller.lastCall();
+    caller.onStart([&former] { UpstreamPool::cancel(former); });
+    CHECK(caller.call(replica.address()).isWhole);
+    CHECK(caller.opened() == 1);
+}
+
 TEST_CASE("bytes that are no answer fail the call")
 {
     Replica replica([](Tcp::socket socket) {
--- a/test/correctness/TimerTest.cpp
+++ b/test/correctness/TimerTest.cpp
@@ -1,10 +1,12 @@
 /** \file
- * The timer service: who is called, and who is left alone.
+ * The timer service: who is called, and who is left alone. The timer of one connection: what is not reported any more.
  */
+#include "connection/Timer.h"
 #include "base/SystemClock.h"
 #include "process/TimerService.h"
 
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace wrenhinge;
 
@@ -32,3 +34,35 @@
         io.run_one();
     timers.stop();
 }
+
+TEST_CASE("a wait that has ended but was cancelled or replaced before its report is not reported")
+{
+    // Symptom: a connection is closed though what it waited for has come. Sequence: the process stands still, a wait ends, and
+    // another handler that is ready too cancels it. Cause: Asio reports a wait that has ended, whatever is called after that.
+    IoContext io;
+    auto work = boost::asio::make_work_guard(io);
+    auto strand = boost::asio::make_strand(io);
+    boost::asio::steady_timer first(strand, 1ms);
+    int reports = 0;
+    auto timer = std::make_unique<Timer>(strand);
+    bool isReplaced = false;
+    SUBCASE("cancelled")
+    {
+        first.async_wait([&](ErrorCode) { timer->cancel(); });
+    }
+    SUBCASE("replaced")
+    {
+        isReplaced = true;
+        first.async_wait([&](ErrorCode) { timer->start(1ms, [&] { reports += 10; }); });
+    }
+    SUBCASE("destroyed")
+    {
+        first.async_wait([&](ErrorCode) { timer.reset(); });
+    }
+    timer->start(2ms, [&] { ++reports; });
+    std::this_thread::sleep_for(10ms);
+    while (io.poll()) { }
+    while (isReplaced && !reports)
+        io.run_one();
+    CHECK(reports == (isReplaced ? 10 : 0));
+}
