A link and a caller's connection outlast a pause of this process

Cause, the same as in HttpServer: a wait that has ended is acted on though what it waited for is here. PeerLink's check of silence went by what had been read, not by what had come, so that a pause of 1.5 s could end every link. CallerServer refused with 408 a request that had come whole, and its pending read still handed it over after that: the refusal's promise was void.

Change: PeerLink looks whether something has come before it gives a link up; CallerServer gives what has come one turn of the loop (as HttpServer now does always: the read may have taken the bytes off the socket already), and hands nothing over once it has refused.

--- a/src/connection/CallerServer.cpp
+++ b/src/connection/CallerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/CallerProtocol.h"
 #include "connection/Endpoint.h"
+#include "connection/Timer.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -16,6 +17,9 @@
     /// Bytes of pipelined requests that are taken in while one is in progress.
     constexpr std::size_t pipelineLimit = 65536;
     constexpr std::size_t watchBytes = 4096;
+    /// After a time limit has ended, what has come by then is read for this long before it strikes. It needs one turn of the loop, and
+    /// was late only because this process stood still.
+    constexpr Duration lastLook = 10ms;
 
     std::string statusLine(int status)
     {
@@ -75,6 +79,8 @@
         m_isIdle = true;
         http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode ec, std::size_t) {
             self->m_isIdle = false;
+            if (self->m_hasTimedOut)
+                return;
             if (ec)
                 return self->onReadError(ec);
             self->readBody();
@@ -167,6 +173,8 @@
         if (beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
             write("HTTP/1.1 100 Continue\r\n\r\n");
         http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode ec, std::size_t) {
+            if (self->m_hasTimedOut)
+                return;
             if (ec)
                 return self->onReadError(ec);
             self->submit();
@@ -269,18 +277,15 @@
 
     void limitTime(Duration limit)
     {
-        m_timer.expires_after(limit);
-        m_timer.async_wait([self = shared_from_this()](ErrorCode ec) {
-            if (!ec)
-                self->onTimeout();
-        });
+        m_timer.start(limit, [self = shared_from_this()] { self->m_timer.start(lastLook, [self] { self->onTimeout(); }); });
     }
 
     void onTimeout()
     {
         if (m_isIdle && !m_parser->got_some())
             return close();
-        // The pending read ends with operation_aborted, which closes after what is written has left.
+        // What the pending read still brings is not handed over: this answer promises that the request has not run.
+        m_hasTimedOut = true;
         m_keepAlive = false;
         Error error { ResultCode::RequestTimeout, "the request did not come whole in time; send it again" };
         auto body = errorBody(error, {});
@@ -303,7 +308,7 @@
 
     CallerServer& m_server;
     Tcp::socket m_socket;
-    boost::asio::steady_timer m_timer;
+    Timer m_timer; ///< Limits the reading of a request and the wait for one.
     beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser;
     RequestId m_request;
@@ -317,6 +322,7 @@
     bool m_isWriting = false;
     bool m_isIdle = false;
     bool m_isClosed = false;
+    bool m_hasTimedOut = false; ///< Its request is being refused for want of time.
     bool m_isCounted = false; ///< Among the server's unfinished requests.
 };
 
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -21,8 +21,8 @@
     constexpr Duration lingerTime = 1s;
     constexpr int callerSilenceMs = 10000;
     constexpr Duration acceptAgainAfter = 50ms;
-    /// After a time limit has ended, bytes that were already here are read for this long before it strikes. Reading them needs one
-    /// turn of the loop; they were late only because this process stood still.
+    /// After a time limit has ended, what has come by then is read for this long before it strikes. It needs one turn of the loop, and
+    /// was late only because this process stood still.
     constexpr Duration lastLook = 10ms;
 
     using RequestParser = http::request_parser<http::string_body>;
@@ -172,8 +172,8 @@
     {
         // The limits may have changed meanwhile; callers go by the present ones.
         auto left = m_idleSince + m_server.m_limits.idleTime - currentInstant();
-        if (left > Duration::zero())
-            return limitTime(left, &Connection::idleTimeEnded);
+        if (left > Duration::zero() || !isQuiet(m_socket))
+            return limitTime(std::max(left, Duration::zero()), &Connection::idleTimeEnded);
         closeGently();
     }
 
@@ -184,11 +184,7 @@
     /// stood still would else close on a whole request that its caller had sent in time.
     void limitTime(Duration limit, void (Connection::*strike)())
     {
-        m_timer.start(limit, [self = shared_from_this(), strike] {
-            if (isQuiet(self->m_socket))
-                return (*self.*strike)();
-            self->m_timer.start(lastLook, [self, strike] { (*self.*strike)(); });
-        });
+        m_timer.start(limit, [self = shared_from_this(), strike] { self->m_timer.start(lastLook, [self, strike] { (*self.*strike)(); }); });
     }
 
     void read()
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -245,7 +245,9 @@
         if (ec || self->m_closed)
             return;
         auto silence = std::chrono::steady_clock::now() - self->m_lastHeard;
-        if (silence > silenceLimit)
+        // What has come and is not read yet is no silence of the peer's: this process stood still. Closed all the same, the links of a
+        // controller that had parsed a large document would be dialled again by all at once.
+        if (silence > silenceLimit && isQuiet(self->m_socket))
             return self->fail();
         if (silence > pingAfter) {
             nghttp2_submit_ping(self->m_session, NGHTTP2_FLAG_NONE, nullptr);
