A gateway that stops refuses at once a stream that might be cut

Change: StreamForecast learns from the last hundred streams of a service the time until the first event and the time for each token that the caller expects. Told to stop, ForwardLogic refuses (503 DRAINING, Retry-After 10 ms) a stream whose forecast, or without 50 streams any, lies beyond its end. A refused caller is at another gateway within some 20 ms; a cut one has lost up to 7.5 s and its answer. A caller that has come back is refused only if its stream would more likely be cut than not: it may have no attempt left. Streams that wait for a place when the signal comes are judged as well. On the way: a route's shortened timeout made all its callers look as if they had come back (their patience was taken to be what the route allows), so that all of them queued as late ones.

Tests: StreamForecastTest (4), ForwardTest (5); the shortened timeout's fails without its part of the change, the others need its event.

--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -125,6 +125,7 @@
         boost::asio::post(m_strand, [this] {
             m_isDraining = true;
             m_callers.announceClose();
+            post(forward::Stop { currentInstant() + m_settings.drainLimit });
             m_runtime.waitUntil([] { return false; }, acceptWhileDraining,
                 [this](bool) {
                     boost::asio::post(m_strand, [this] { m_callers.closeIdle(); });
--- a/src/request/ForwardAnswers.cpp
+++ b/src/request/ForwardAnswers.cpp
@@ -130,6 +130,9 @@
         "stream after " + std::to_string((now - flow.arrivedAt) / 1ms) + " ms, longest pause " + std::to_string(flow.longestPause / 1ms)
             + " ms" });
     m_effects.push_back(EndStream { flow.id });
+    // The rest of a stream tells nothing of a whole one.
+    if (!flow.ask.resumeAfter)
+        m_forecast.note(flow.service, expectedTokensOf(flow), *flow.untilFirst, now - flow.arrivedAt - *flow.untilFirst);
     finish(flow, ResultCode::Ok, now);
 }
 
--- a/src/request/ForwardEvents.h
+++ b/src/request/ForwardEvents.h
@@ -98,13 +98,17 @@
 struct ConfirmDocument {
     std::uint64_t version = 0;
 };
+/// This process was told to stop; answers that are not whole by then are cut.
+struct Stop {
+    Instant endsAt;
+};
 struct Tick { };
 using wrenhinge::Announced;
 using wrenhinge::RegistryPulse;
 using wrenhinge::StageChange;
 using wrenhinge::Withdrawn;
 using Event = std::variant<Submit, CallerGone, AnswerHead, AnswerBody, AnswerEnd, CallFailed, PlaceTaken, PlaceRefused, PromptRead,
-    PromptNotRead, TakeDocument, ConfirmDocument, Announced, Withdrawn, RegistryPulse, StageChange, Tick>;
+    PromptNotRead, TakeDocument, ConfirmDocument, Announced, Withdrawn, RegistryPulse, StageChange, Stop, Tick>;
 
 /// A slot and memory that a decode replica has set aside.
 struct Place {
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -32,6 +32,11 @@
     constexpr double placePerExpected = 1.3;
     /// Without an estimate of its caller an answer is taken to be this part of what it may be.
     constexpr std::uint32_t usualPartOfOutput = 2;
+    /// A caller with less patience than others on its route by this much was refused elsewhere and has come back: the way there and
+    /// back alone takes some milliseconds, and what callers bring at first differs by none.
+    constexpr Duration spentByReturn = 5ms;
+    /// Another gateway can take the request now, so its caller need not wait; not quite zero, which some take for nothing said.
+    constexpr Duration returnElsewhere = 10ms;
 
 } // namespace
 
@@ -173,9 +178,12 @@
     m_budget.countRequest(flow.service, now);
     m_effects.push_back(Note { EventCode::RequestReceived, flow.id,
         flow.route->name + " document " + std::to_string(m_table->version()) + " tokens " + std::to_string(ask.promptTokens) + "+"
-            + std::to_string(ask.outputTokens) + " left " + std::to_string((flow.endsAt - now) / 1ms) + " ms" });
+            + std::to_string(ask.outputTokens) + " expected " + std::to_string(expectedTokensOf(flow)) + " left "
+            + std::to_string((flow.endsAt - now) / 1ms) + " ms" });
     auto& longest = m_longestPatience[flow.route->name];
-    longest = std::max(longest, flow.endsAt - flow.arrivedAt);
+    longest = std::max(longest, ask.patience.value_or(Duration::zero()));
+    if (mightBeCut(flow))
+        return refuseToBeCut(flow, now);
     if (!waitForPlace(flow, now) && !prefill(flow, now))
         runOrFail(flow, now);
 }
@@ -206,14 +214,27 @@
     internalError("a weighted choice beyond the sum of its weights");
 }
 
+/// What the caller had of its patience before it came here: one that was refused and has come back brings less than others on its
+/// route.
+Duration ForwardLogic::spentBefore(const Flow& flow) const
+{
+    auto patience = flow.ask.patience;
+    return patience ? m_longestPatience.at(flow.route->name) - *patience : Duration::zero();
+}
+
+std::uint32_t ForwardLogic::expectedTokensOf(const Flow& flow)
+{
+    const auto& ask = flow.ask;
+    return std::min(ask.expectedTokens.value_or(ask.outputTokens / usualPartOfOutput), ask.outputTokens);
+}
+
 /// What the request is taken to need of an engine's memory: its prompt, and more output than its caller expects. What is not set
 /// aside for an answer may be missing when it grows, and then the engine sets a running stream back and reads its prompt anew,
 /// which holds up all streams there.
-std::uint32_t ForwardLogic::tokensOf(const Flow& flow) const
+std::uint32_t ForwardLogic::tokensOf(const Flow& flow)
 {
     const auto& ask = flow.ask;
-    auto expected = ask.expectedTokens.value_or(ask.outputTokens / usualPartOfOutput);
-    return ask.promptTokens + std::min(static_cast<std::uint32_t>(placePerExpected * expected), ask.outputTokens);
+    return ask.promptTokens + std::min(static_cast<std::uint32_t>(placePerExpected * expectedTokensOf(flow)), ask.outputTokens);
 }
 
 /// The rule of the flow's service if that has engines, else nullptr.
@@ -308,6 +329,37 @@
     m_effects.push_back(Note { code, flow.id, std::move(text) });
 }
 
+// --- The end of this process ------------------------------------------------------------------------------------
+
+/// Whether the stream might outlive this process. A first attempt is refused if one in a hundred like it would be cut: it loses some
+/// 20 ms on its way to another gateway, a cut one all of its seconds. A caller that has come back was refused by another gateway,
+/// and may have no further attempt: it is refused only if it would more likely be cut than not. Where nothing is known yet, each
+/// is dealt with as if the worst were.
+bool ForwardLogic::mightBeCut(const Flow& flow) const
+{
+    if (!m_stopsAt || !flow.route->isStream || flow.endsAt <= *m_stopsAt)
+        return false;
+    bool hasComeBack = spentBefore(flow) >= spentByReturn;
+    auto expected = expectedTokensOf(flow);
+    auto lasts = hasComeBack ? m_forecast.usual(flow.service, expected) : m_forecast.longest(flow.service, expected);
+    return lasts ? flow.arrivedAt + *lasts > *m_stopsAt : !hasComeBack;
+}
+
+void ForwardLogic::refuseToBeCut(Flow& flow, Instant now)
+{
+    refuseUntil(flow, ResultCode::Draining, "this gateway stops before the stream would have ended", returnElsewhere, now);
+}
+
+/// Streams that still wait for a place have lost little, so they go as well.
+void ForwardLogic::on(const Stop& event, Instant now)
+{
+    m_stopsAt = event.endsAt;
+    for (const auto& id : m_queue.inOrder(now)) {
+        if (auto& flow = m_flows.at(id); mightBeCut(flow))
+            refuseToBeCut(flow, now);
+    }
+}
+
 // --- Time -------------------------------------------------------------------------------------------------------
 
 void ForwardLogic::scheduleCheck(Flow& flow)
--- a/src/request/ForwardLogic.h
+++ b/src/request/ForwardLogic.h
@@ -6,6 +6,7 @@
  *   "not run" is said only if every send of the request is known not to have run;
  * - a whole answer is gathered before it is passed on, so that one which breaks off can still be replaced; a stream is passed
  *   on event by event, and goes on at another replica after the last whole event where the route allows it;
+ * - told to stop, it refuses at once a stream that might be cut when the process ends (StreamForecast);
  * - at the route's timeout, or when the caller's patience ends, the caller has a final answer and the replica is released.
  */
 #pragma once
@@ -16,6 +17,7 @@
 #include "request/PlaceQueue.h"
 #include "request/ReplicaTable.h"
 #include "request/SharedRetryBudget.h"
+#include "request/StreamForecast.h"
 
 #include <map>
 #include <memory>
@@ -81,6 +83,7 @@
     void on(const Withdrawn&, Instant);
     void on(const RegistryPulse&, Instant);
     void on(const StageChange&, Instant);
+    void on(const forward::Stop&, Instant);
     void on(const forward::Tick&, Instant);
 
     void holdForDocument(Flow&, Instant);
@@ -106,6 +109,9 @@
     void dropPlace(Flow&);
     std::optional<ReplicaTable::Choice> chooseForRun(Flow&, Instant);
     [[nodiscard]] Instant inTimeUntil(const Flow&) const;
+    [[nodiscard]] Duration spentBefore(const Flow&) const;
+    [[nodiscard]] bool mightBeCut(const Flow&) const;
+    void refuseToBeCut(Flow&, Instant);
     bool resend(Flow&, Instant);
     void resendOrFail(Flow&, bool mayHaveRun, const std::string& why, Instant);
     [[nodiscard]] bool mayRunAgain(const Flow&) const;
@@ -121,7 +127,8 @@
     [[nodiscard]] ReplicaTable::Need needOf(const Flow&) const;
     [[nodiscard]] std::uint32_t callLimit(const ServiceRule*) const;
     [[nodiscard]] const ServiceRule* engineRule(const Flow&) const;
-    [[nodiscard]] std::uint32_t tokensOf(const Flow&) const;
+    [[nodiscard]] static std::uint32_t expectedTokensOf(const Flow&);
+    [[nodiscard]] static std::uint32_t tokensOf(const Flow&);
     [[nodiscard]] Duration retryAfter(const Flow&, Instant) const;
     std::string pickService(const Route&);
 
@@ -139,6 +146,8 @@
     bool m_mayAdmit = false; ///< Something has changed for those who wait.
     Instant m_admitAt = Instant::max(); ///< When a replica that was full is asked again.
     std::map<std::string, Duration> m_longestPatience; ///< By route: what a caller's first attempt brings.
+    StreamForecast m_forecast;
+    std::optional<Instant> m_stopsAt; ///< When this process ends, once it was told to.
     std::unordered_map<RequestId, Flow> m_flows;
     std::set<std::pair<Instant, RequestId>> m_wakes;
     Effects m_effects;
--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/ForwardPlaces.cpp
@@ -43,13 +43,11 @@
     return true;
 }
 
-/// The latest moment for a place that still lets the first event meet the target. A caller that was refused and has come back
-/// counts from its first attempt: it brings less patience than others on its route.
+/// The latest moment for a place that still lets the first event meet the target, which counts from the caller's first attempt.
 Instant ForwardLogic::inTimeUntil(const Flow& flow) const
 {
-    auto spent = m_longestPatience.at(flow.route->name) - (flow.endsAt - flow.arrivedAt);
     auto prefill = fromSeconds(m_replicas.meanSeconds(flow.service, UpstreamKind::Prefill));
-    return flow.arrivedAt - spent + flow.route->target - afterPrefill - std::max(prefill, usualPrefill);
+    return flow.arrivedAt - spentBefore(flow) + flow.route->target - afterPrefill - std::max(prefill, usualPrefill);
 }
 
 void ForwardLogic::admitWaiting(Instant now)
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -687,3 +687,104 @@
     CHECK(resends <= 0.2 * 200 + 60);
     CHECK(resends >= 20);
 }
+
+namespace {
+
+/// Has a gateway serve a number of streams that last so long.
+void serveStreams(Bench& bench, std::size_t n, Duration afterFirst)
+{
+    for (std::size_t i = 0; i < n; ++i) {
+        auto send = bench.run(bench.ask("/stream/x", 14s));
+        bench.streamHead(send);
+        bench.post(AnswerBody { send.id, send.attempt, "id: 1\ndata: a\n\n" });
+        bench.now += afterFirst;
+        bench.post(AnswerEnd { send.id, send.attempt });
+        REQUIRE(bench.did<EndStream>().size() == 1);
+    }
+}
+
+constexpr Duration stopLimit = 7500ms;
+
+} // namespace
+
+TEST_CASE("a gateway that stops refuses at once a stream that might be cut, and names no other way than another gateway")
+{
+    // Symptom: callers of streams get neither an answer nor a refusal around a planned stop. Sequence: the gateway is told to stop, a
+    // stream comes in the seconds in which callers are still sent to it, lasts longer than the process, and is cut.
+    Bench bench;
+    bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode).replica("a");
+    bench.post(Stop { bench.now + stopLimit });
+    bench.ask("/stream/x", 14s);
+    auto refusal = bench.only<Refuse>();
+    CHECK(refusal.error.code == ResultCode::Draining);
+    CHECK(httpStatusOf(refusal.error.code) == 503);
+    REQUIRE(refusal.error.retryAfter);
+    CHECK(*refusal.error.retryAfter <= 10ms);
+    // What ends in time whatever happens, or is no stream, is served.
+    bench.ask("/stream/x", 7s);
+    CHECK(bench.did<TakePlace>().size() == 1);
+    bench.ask("/once/x");
+    CHECK(bench.did<Send>().size() == 1);
+}
+
+TEST_CASE("a gateway that stops serves the streams that hardly ever last longer than it")
+{
+    Bench bench;
+    bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
+    serveStreams(bench, StreamForecast::needed, 6s);
+    bench.post(Stop { bench.now + stopLimit });
+    bench.ask("/stream/x", 14s);
+    CHECK(bench.did<Refuse>().empty());
+    CHECK(bench.did<TakePlace>().size() == 1);
+    bench.now += 2s;
+    bench.ask("/stream/x", 14s);
+    CHECK(bench.only<Refuse>().error.code == ResultCode::Draining);
+}
+
+TEST_CASE("a caller that was refused elsewhere is refused again only if its stream would likely be cut")
+{
+    // Symptom: a caller is refused by one gateway after the other while several stop, and has no attempt left.
+    Bench bench;
+    bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
+    serveStreams(bench, StreamForecast::needed, 2s);
+    serveStreams(bench, 1, 9s);
+    bench.post(Stop { bench.now + stopLimit });
+    bench.ask("/stream/x", 14s);
+    CHECK(bench.did<Refuse>().size() == 1);
+    bench.ask("/stream/x", 14s - 50ms);
+    CHECK(bench.did<Refuse>().empty());
+    bench.now += 6s;
+    bench.ask("/stream/x", 14s - 50ms);
+    CHECK(bench.did<Refuse>().size() == 1);
+}
+
+TEST_CASE("streams that wait for a place when the gateway is told to stop are refused as well")
+{
+    Bench bench;
+    bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
+    bench.ask("/stream/x", 14s);
+    auto take = bench.only<TakePlace>();
+    bench.post(PlaceRefused { take.id, take.attempt, true });
+    CHECK(bench.did<Refuse>().empty());
+    bench.post(Stop { bench.now + stopLimit });
+    CHECK((bench.only<Refuse>().id == take.id));
+    CHECK(bench.only<Refuse>().error.code == ResultCode::Draining);
+}
+
+TEST_CASE("a shorter timeout of the route does not make callers look as if they had come back")
+{
+    // Symptom: after a change that shortens a route's timeout all its requests go behind those of others, as if they were late.
+    // Cause: what a caller brings was taken to be what the route allows it.
+    Bench bench;
+    bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
+    bench.run(bench.ask("/stream/x", 14s));
+    auto shorter = document(2);
+    for (auto& route : shorter.routes)
+        route.timeout = 10s;
+    bench.post(TakeDocument { shorter, true });
+    bench.ask("/stream/x", 14s);
+    auto take = bench.only<TakePlace>();
+    bench.post(PlaceRefused { take.id, take.attempt, true });
+    bench.wait(200ms);
+    CHECK(bench.did<Refuse>().empty());
+}
