make bench-state tells what a document costs by routes and gateways; its test support is one class

Cause: nothing measured what a change costs as documents and sites grow; the test of it held its own processes.

--- a/test/performance/StateBench.cpp
+++ b/test/performance/StateBench.cpp
@@ -1,7 +1,9 @@
 /** \file
- * `make bench-state`: commits with real fsync through three controllers, keyed calls a second, recovery against log length.
+ * `make bench-state`: commits with real fsync through three controllers, keyed calls a second, recovery against log length, and what a
+ * routing document costs by its routes and the gateways that hold it.
  */
 #include "Cluster.h"
+#include "DocumentSite.h"
 #include "version/LogStorage.h"
 
 #include <algorithm>
@@ -89,10 +91,42 @@
     std::filesystem::remove_all(folder);
 }
 
+/// What a document of so many routes costs: the first one, and a change of one route in it.
+void benchDocuments(int routes, std::size_t gateways)
+{
+    constexpr std::size_t controllers = 3;
+    constexpr int changes = 10;
+    DocumentSite site(controllers, gateways);
+    auto first = documentOf(1, routes);
+    auto before = site.sentBytes();
+    auto start = Clock::now();
+    site.change(0, first);
+    auto firstMillis = millisSince(start);
+    auto firstBytes = site.sentBytes() - before;
+    std::vector<double> millis;
+    before = site.sentBytes();
+    for (int i = 1; i <= changes; ++i) {
+        start = Clock::now();
+        site.change(static_cast<std::size_t>(i) % controllers, documentOf(1 + i, routes, 600 + i));
+        millis.push_back(millisSince(start));
+    }
+    std::sort(millis.begin(), millis.end());
+    std::printf(
+        "document of %5d routes (%7.1f KB), %3zu gateways: first in force everywhere after %7.1f ms, %8.1f KB sent; a change of one route "
+        "after %6.1f ms (median of %d), %7.1f KB sent; peak memory of a controller %5.1f MB, of a gateway %5.1f MB\n",
+        routes, static_cast<double>(first.size()) / 1e3, gateways, firstMillis, firstBytes / 1e3, millis[millis.size() / 2], changes,
+        (site.sentBytes() - before) / changes / 1e3, static_cast<double>(site.controllerPeak()) / 1e3,
+        static_cast<double>(site.gatewayPeak()) / 1e3);
+}
+
 } // namespace
 
 int main()
 {
+    for (int routes : { 10, 100, 1400 }) {
+        for (std::size_t gateways : { 8, 32, 105 })
+            benchDocuments(routes, gateways);
+    }
     {
         Cluster cluster({ .controllers = 3, .prefills = 1, .decodes = 1, .slots = 500, .logLevel = "warn" });
         cluster.start();
