--- a/test/correctness/ReplicaTest.cpp
+++ b/test/correctness/ReplicaTest.cpp
@@ -102,7 +102,7 @@
 
 TEST_CASE("all gateways together stay within the retry budget in any window")
 {
-    rc::check("resends of all gateways against the site's bound", [] {
+    CHECK(rc::check("resends of all gateways against the site's bound", [] {
         auto gateways = *rc::gen::inRange(1, 12);
         auto perTenth = *rc::gen::container<std::vector<int>>(100, rc::gen::inRange(0, 12));
         RetryBudgetSettings settings { 0.2, 60, 10s };
@@ -124,7 +124,7 @@
             }
         }
         RC_ASSERT(resends <= settings.ratio * requests + settings.slack);
-    });
+    }));
 }
 
 TEST_CASE("those who can be in time go first, by rank and arrival, and leave when they can't")
--- a/test/correctness/RunTest.cpp
+++ b/test/correctness/RunTest.cpp
@@ -263,7 +263,7 @@
 {
     // Symptom: one half of the gateways goes on sending to an address that is gone. Sequence: a replica crashes behind a cut and starts
     // again; each side has heard of another run, and each takes its own for the newer.
-    rc::check("any two histories of one replica", [] {
+    CHECK(rc::check("any two histories of one replica", [] {
         using Said = std::tuple<int, int, int>; // What: announce, drain, withdraw; the run; the sequence.
         auto said
             = rc::gen::container<std::vector<Said>>(rc::gen::tuple(rc::gen::inRange(0, 5), rc::gen::inRange(0, 4), rc::gen::inRange(1, 5)));
@@ -290,7 +290,7 @@
         RC_ASSERT(belief.has_value() == (newest > ended));
         if (belief)
             RC_ASSERT(std::get<0>(*belief) == ReplicaStart(newest ? first.value() + static_cast<std::uint64_t>(newest) : 0));
-    });
+    }));
 }
 
 TEST_CASE("a run whose machine's clock was set back is not believed until the former one is forgotten, and then is")
