--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -184,7 +184,7 @@
         };
         UpstreamRequest request;
         request.bytes = get("/");
-        m_lastCall = m_pool.call("r", address, request, handlers);
+        m_lastCall = m_pool.call({ "r", {} }, address, request, handlers);
         if (auto f = std::exchange(m_onStart, nullptr))
             f();
         while (!outcome.isWhole && !outcome.hasFailed)
