The log keeps two voters for each loss to bear and one, spread over zones

Cause: members were the founders for good; a learner only ever took the place of a silent one. And an entry that registers a wiped disk was counted as stored by that disk: a leader that was frozen past its successor's election committed with it what contradicted an accepted document. Change: MembershipPlan adds learners in pairs up to 2f + 1, of the zone with the fewest voters first; an even number or one too many is left again; a zone with two more voters than a learner's gives one up. ReplaceDiskCommand carries the zone, so that a leader that never met a member knows it. A learner's disk is registered before it is added, and a member counts for a commit, a read and the leader's quorum only once it knows its registration to be committed (AppendReply::isVoter). A controller without a disk is never registered, and pushes no documents to gateways, which have them from the others. Ruled out: adding a pair in one entry (members.pml, CHANGE_TWO breaks); counting by the registrations that the leader has applied (after a restart none are, so two of three with a repaired disk elect nobody); registering after adding (the new member takes part in no majority for two heartbeats).

--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -294,7 +294,8 @@
 struct ReplaceDiskCommand {
     std::string name;
     DiskId disk;
-    MSGPACK_DEFINE(name, disk)
+    std::string zone; ///< Where the controller is, so that a leader that never met it can spread the members; empty: not known.
+    MSGPACK_DEFINE(name, disk, zone)
 };
 
 /// Replaces the whole routing document, if `version` is above the one in force. The text is as its author sent it.
@@ -412,7 +413,8 @@
     std::uint64_t match = 0; ///< Accepted: the last index that is durable here. Else: a hint where to try.
     std::uint64_t round = 0;
     DiskId disk;
-    MSGPACK_DEFINE(term, accepted, match, round, disk)
+    bool isVoter = false; ///< The sender knows that the log has registered its disk.
+    MSGPACK_DEFINE(term, accepted, match, round, disk, isVoter)
 };
 
 /// A piece of a snapshot; `done` marks the last one.
--- a/src/version/ControllerLogic.cpp
+++ b/src/version/ControllerLogic.cpp
@@ -40,7 +40,9 @@
         if (m_settings.isDynamic)
             m_raft.meet(event.peer.name, event.peer.zone, now);
     }
-    if (event.peer.role == Role::Gateway)
+    // A controller without a disk is one more door for announcements and operators. What it would send to gateways they have from
+    // each of those with one, so that it would only write every document once more to every gateway.
+    if (event.peer.role == Role::Gateway && m_settings.disk != DiskId())
         m_followers[event.peer.id] = {};
 }
 
@@ -352,7 +354,7 @@
         } else if (auto* restore = std::get_if<raft::Restore>(&effect)) {
             if (!m_state.load(restore->snapshot.bytes))
                 internalError("a snapshot that passed its checksum can't be read");
-            m_raft.restoreMembers(m_state.members());
+            m_raft.restoreMembers(m_state.members(), m_state.zones());
             m_raft.restoreDisks(m_state.disks());
         } else if (auto* changed = std::get_if<raft::LeaderChanged>(&effect)) {
             for (auto& [peer, watcher] : m_watchers)
--- a/src/version/ControllerState.cpp
+++ b/src/version/ControllerState.cpp
@@ -19,7 +19,8 @@
         std::map<std::string, DiskId> disks;
         std::vector<std::string> members;
         DocumentCommand document;
-        MSGPACK_DEFINE(version, number, entries, history, ledger, fences, disks, members, document)
+        std::map<std::string, std::string> zones;
+        MSGPACK_DEFINE(version, number, entries, history, ledger, fences, disks, members, document, zones)
     };
 
     bool hasSameContent(const ConfigCommand& a, const ConfigCommand& b) { return a.puts == b.puts && a.removes == b.removes; }
@@ -107,6 +108,8 @@
 ProposeReply ControllerState::applyCommand(const ReplaceDiskCommand& command, std::uint64_t)
 {
     m_disks[command.name] = command.disk;
+    if (!command.zone.empty())
+        m_zones[command.name] = command.zone;
     return {};
 }
 
@@ -130,7 +133,7 @@
 std::string ControllerState::save() const
 {
     SavedState saved { m_configuration.version(), m_configuration.number(), m_configuration.entries(),
-        { m_history.begin(), m_history.end() }, m_ledger.entries(), {}, m_disks, m_members, m_document };
+        { m_history.begin(), m_history.end() }, m_ledger.entries(), {}, m_disks, m_members, m_document, m_zones };
     for (const auto& [upstream, fence] : m_fences)
         saved.fences[upstream] = { fence.token, fence.orderId };
     return encodeValue(saved);
@@ -150,6 +153,7 @@
     m_disks = std::move(saved->disks);
     m_members = std::move(saved->members);
     m_document = std::move(saved->document);
+    m_zones = std::move(saved->zones);
     return true;
 }
 
--- a/src/version/ControllerState.h
+++ b/src/version/ControllerState.h
@@ -42,6 +42,8 @@
     [[nodiscard]] const std::map<std::string, DiskId>& disks() const { return m_disks; }
     /// The members of the log, if the log holds them.
     [[nodiscard]] const std::vector<std::string>& members() const { return m_members; }
+    /// The availability zones of the controllers whose disks were registered, as far as they are known.
+    [[nodiscard]] const std::map<std::string, std::string>& zones() const { return m_zones; }
     /// The routing document in force; version zero: none yet.
     [[nodiscard]] const DocumentCommand& document() const { return m_document; }
 
@@ -72,6 +74,7 @@
     std::map<std::string, Fence> m_fences;
     std::map<std::string, DiskId> m_disks;
     std::vector<std::string> m_members;
+    std::map<std::string, std::string> m_zones;
     DocumentCommand m_document;
 };
 
--- a/src/version/MembershipPlan.h
+++ b/src/version/MembershipPlan.h
@@ -1,14 +1,24 @@
 /** \file
  * Decides which change of the log's members the leader makes next, one member at a time.
  *
- * The aim is that a loss is repaired before the next one comes. A controller that is gone for good leaves a group that bears
- * one loss less; nobody says that it won't return, and a new one at another address says nothing of whom it replaces. So a
- * learner that has caught up takes the place of a member that has stayed silent: it is added first, then the silent one is
- * removed, so that each step's majorities share a member with the step before. A silent member without a learner to take its
- * place stays: removing it would make the group smaller than its operator wanted.
+ * The aim is that as many members as the operator wants may be lost at once, and that a loss is repaired before the next one
+ * comes. To bear f losses the log needs 2f + 1 members: those that are left elect a leader, and they alone can register the
+ * disks of those that come back wiped. With three members and two disks wiped at once the log would be at an end for good, with
+ * any number of sound controllers beside it.
+ *
+ * Growth. The founders are a few; learners that have caught up are added until there are 2f + 1 members, in pairs, since an
+ * even number bears no more losses than the odd one below it. With fewer disks there are as many members as the largest odd
+ * number of them. A learner of the zone with the fewest voters goes first, and a zone with two voters more than a learner's
+ * gives one up for it: an even spread over three zones or more bears the loss of any one zone as well.
+ *
+ * Replacement. A controller that is gone for good leaves a group that bears one loss less; nobody says that it won't return,
+ * and a new one at another address says nothing of whom it replaces. So a learner takes the place of a member that has stayed
+ * silent: it is added first, then the silent one is removed, so that each step's majorities share a member with the step
+ * before. A silent member without a learner to take its place stays: removing it would make the group smaller than its
+ * operator wanted.
  *
  * Example: members A, B, C; C is lost, D comes. D learns the log, [A, B, C, D] is committed by A, B and D, then [A, B, D] by
- * two of these. If C comes back, it is a learner, ready for the next loss.
+ * two of these. If C comes back, it is a learner, ready for the next loss; with E beside it and two losses to bear, both are added.
  */
 #pragma once
 
--- a/src/version/Raft.cpp
+++ b/src/version/Raft.cpp
@@ -29,6 +29,7 @@
     , m_leaderHeardAt(now - 1h)
     , m_random(m_settings.seed)
 {
+    m_zones[m_settings.self] = m_settings.zone;
     for (const auto& entry : m_entries)
         noteEntry(entry);
     resetElectionTimer(now);
@@ -97,6 +98,15 @@
     return it == m_disks.end() || it->second == disk || !m_settings.safeguards.countsOnlyKnownDisks;
 }
 
+/// Whether what a member stores makes up a majority. A wiped disk must not help to commit the entry that registers it: a leader
+/// that was frozen while another was elected would commit with it, as one of the two of three that are left to it, what
+/// contradicts entries that the disk had acknowledged before it was wiped. Who knows the registration to be committed has heard
+/// of it from a leader that needed no such help.
+bool Raft::acknowledges(const std::string& member, const Progress& progress) const
+{
+    return counts(member, progress.disk) && (progress.isVoter || !m_settings.safeguards.countsOnlyKnownDisks);
+}
+
 bool Raft::isUpToDate(std::uint64_t lastIndex, std::uint64_t lastTerm) const
 {
     auto ownTerm = termAt(this->lastIndex());
@@ -261,7 +271,7 @@
 {
     std::size_t heard = selfCount();
     for (const auto& [member, progress] : m_progress) {
-        if (isMember(member) && now - progress.heardAt <= m_settings.electionTimeout * 2 && counts(member, progress.disk))
+        if (isMember(member) && now - progress.heardAt <= m_settings.electionTimeout * 2 && acknowledges(member, progress))
             ++heard;
     }
     if (heard < majority() && m_settings.safeguards.stepsDownWithoutQuorum)
@@ -350,10 +360,15 @@
     resetElectionTimer(now);
 }
 
+AppendReply Raft::appendReply(const AppendRequest& request, bool accepted, std::uint64_t match) const
+{
+    return { m_hard.term, accepted, match, request.round, m_settings.disk, m_hard.isVoter };
+}
+
 void Raft::on(const std::string& from, const AppendRequest& request, Instant now)
 {
     if (request.term < m_hard.term) {
-        m_effects.push_back(raft::Send { from, AppendReply { m_hard.term, false, lastIndex(), request.round, m_settings.disk } });
+        m_effects.push_back(raft::Send { from, appendReply(request, false, lastIndex()) });
         return;
     }
     followLeader(from, request.term, now);
@@ -362,12 +377,12 @@
         && (request.previousIndex < m_snapshot.lastIndex || termAt(request.previousIndex) == request.previousTerm);
     if (!hasPrevious) {
         auto hint = std::min(lastIndex(), request.previousIndex ? request.previousIndex - 1 : 0);
-        m_effects.push_back(raft::Send { from, AppendReply { m_hard.term, false, hint, request.round, m_settings.disk } });
+        m_effects.push_back(raft::Send { from, appendReply(request, false, hint) });
         return;
     }
     takeEntries(request.entries);
     auto match = request.previousIndex + request.entries.size();
-    m_effects.push_back(raft::Send { from, AppendReply { m_hard.term, true, match, request.round, m_settings.disk } });
+    m_effects.push_back(raft::Send { from, appendReply(request, true, match) });
     if (auto commit = std::min(request.commit, match); commit > m_commit) {
         m_commit = commit;
         applyCommitted();
@@ -412,6 +427,8 @@
         registerDisks();
     }
     progress.heardAt = now;
+    progress.isVoter = reply.isVoter;
+    progress.isDiskless = reply.disk == DiskId();
     progress.round = std::max(progress.round, reply.round);
     if (reply.accepted) {
         progress.match = std::max(progress.match, reply.match);
@@ -433,7 +450,7 @@
     for (auto index = lastIndex(); index > m_commit && termAt(index) == m_hard.term; --index) {
         std::size_t stored = selfCount();
         for (const auto& [member, progress] : m_progress)
-            stored += isMember(member) && progress.match >= index && counts(member, progress.disk) ? 1 : 0;
+            stored += isMember(member) && progress.match >= index && acknowledges(member, progress) ? 1 : 0;
         if (stored >= majority()) {
             m_commit = index;
             applyCommitted();
@@ -466,7 +483,7 @@
     std::erase_if(m_reads, [this](const Read& read) {
         std::size_t confirmed = selfCount();
         for (const auto& [member, progress] : m_progress)
-            confirmed += isMember(member) && progress.round >= read.round && counts(member, progress.disk) ? 1 : 0;
+            confirmed += isMember(member) && progress.round >= read.round && acknowledges(member, progress) ? 1 : 0;
         if (confirmed < majority())
             return false;
         m_effects.push_back(raft::ReadReady { read.ticket });
--- a/src/version/Raft.h
+++ b/src/version/Raft.h
@@ -9,7 +9,8 @@
  * - snapshots in chunks for a member that hundreds of changes have passed by;
  * - disk identities: a member counts only with the disk that the log has registered for it. One that lost its disk has
  *   forgotten its votes and acknowledgements; counted under its old name it could help elect a leader without a committed
- *   entry. It therefore neither votes nor counts until the log itself, by a majority without it, registers the new disk.
+ *   entry. It therefore neither votes nor counts until the log itself, by a majority without it, registers the new disk;
+ *   it says in each reply whether it knows that this has been committed.
  *
  * The driver carries out the effects of one step in order; `Persist` and `SaveSnapshot` must be durable before any
  * later effect is carried out.
@@ -125,7 +126,8 @@
     /// Whether this state is the newest that a majority has accepted, as far as a member that hears its leader can know.
     [[nodiscard]] bool isCurrent(Instant now) const;
     [[nodiscard]] const std::vector<std::string>& members() const { return m_members; }
-    void restoreMembers(std::vector<std::string>);
+    /// Restores the members with the state that a snapshot holds. \param zones where controllers are, as far as the log knows.
+    void restoreMembers(std::vector<std::string>, const std::map<std::string, std::string>& zones);
     /// Replaces the applied part of the log by a snapshot of the state after it.
     Effects compact(std::string stateBytes);
 
@@ -157,6 +159,8 @@
         Instant heardAt;
         Instant sentAt;
         DiskId disk;
+        bool isVoter = false; ///< It knows that this disk is registered.
+        bool isDiskless = false;
         std::uint64_t snapshotOffset = 0;
     };
     struct Read {
@@ -188,11 +192,14 @@
     void answerReads();
     void checkQuorum(Instant);
     void registerDisks();
+    bool registerDisk(const std::string& member, DiskId);
     void resetElectionTimer(Instant);
     void hastenFirstElection(Instant);
     void persistHardState();
     [[nodiscard]] DiskId diskOf(const std::string& member) const;
     [[nodiscard]] bool counts(const std::string& member, DiskId) const;
+    [[nodiscard]] bool acknowledges(const std::string& member, const Progress&) const;
+    [[nodiscard]] AppendReply appendReply(const AppendRequest&, bool accepted, std::uint64_t match) const;
     [[nodiscard]] bool isUpToDate(std::uint64_t lastIndex, std::uint64_t lastTerm) const;
     [[nodiscard]] std::uint64_t termAt(std::uint64_t index) const;
     [[nodiscard]] const LogEntry& entryAt(std::uint64_t index) const { return m_entries[index - m_snapshot.lastIndex - 1]; }
@@ -200,6 +207,8 @@
     void noteEntry(const LogEntry&);
     void setVoter(bool);
     void changeMembers(Instant);
+    [[nodiscard]] std::vector<std::string> plannedMembers(Instant) const;
+    void proposeMembers(std::vector<std::string>, Instant);
     [[nodiscard]] bool isMember(const std::string& name) const;
     [[nodiscard]] std::size_t selfCount() const { return isMember(m_settings.self) ? 1 : 0; }
 
@@ -221,6 +230,8 @@
     std::uint64_t m_leaderCommit = 0; ///< The commit index that the leader told last.
     std::set<std::pair<std::string, DiskId>> m_registering;
     std::set<std::string> m_linked; ///< The controllers that a link is up to, members or not.
+    /// Where controllers are, by their own word or the log's. It decides only who is preferred, so a void entry does no harm.
+    std::map<std::string, std::string> m_zones;
     std::vector<Read> m_reads;
     std::uint64_t m_lastTicket = 0;
     std::uint64_t m_round = 0;
--- a/src/version/RaftMembers.cpp
+++ b/src/version/RaftMembers.cpp
@@ -8,8 +8,9 @@
 
 namespace wrenhinge {
 
-void Raft::restoreMembers(std::vector<std::string> members)
+void Raft::restoreMembers(std::vector<std::string> members, const std::map<std::string, std::string>& zones)
 {
+    m_zones.insert(zones.begin(), zones.end());
     if (members.empty())
         return;
     m_appliedMembers = members;
@@ -29,15 +30,20 @@
         setVoter(it->second == m_settings.disk || !m_settings.safeguards.countsOnlyKnownDisks);
 }
 
+/// Registers a disk, unless that is done or under way. \returns whether an entry was appended.
+bool Raft::registerDisk(const std::string& name, DiskId disk)
+{
+    auto it = m_disks.find(name);
+    if (disk == DiskId() || (it != m_disks.end() && it->second == disk) || !m_registering.insert({ name, disk }).second)
+        return false;
+    appendOwn(ReplaceDiskCommand { name, disk, m_zones[name] });
+    return true;
+}
+
 /// The leader registers the disk of each member that it hears of under an unregistered one. The entry commits by a
 /// majority that the member itself is no part of, so everything committed before is with others.
 void Raft::registerDisks()
 {
-    auto registerDisk = [this](const std::string& member, DiskId disk) {
-        auto it = m_disks.find(member);
-        if (disk != DiskId() && (it == m_disks.end() || it->second != disk) && m_registering.insert({ member, disk }).second)
-            appendOwn(ReplaceDiskCommand { member, disk });
-    };
     registerDisk(m_settings.self, m_settings.disk);
     for (const auto& [member, progress] : m_progress) {
         if (isMember(member))
@@ -47,17 +53,21 @@
 
 void Raft::noteEntry(const LogEntry& entry)
 {
-    if (const auto* replace = std::get_if<ReplaceDiskCommand>(&entry.command))
+    if (const auto* replace = std::get_if<ReplaceDiskCommand>(&entry.command)) {
         m_disks[replace->name] = replace->disk;
+        if (!replace->zone.empty())
+            m_zones[replace->name] = replace->zone;
+    }
     if (const auto* change = std::get_if<MembersCommand>(&entry.command))
         m_members = change->names;
 }
 
 bool Raft::isMember(const std::string& name) const { return std::find(m_members.begin(), m_members.end(), name) != m_members.end(); }
 
-void Raft::meet(const std::string& name, const std::string&, Instant now)
+void Raft::meet(const std::string& name, const std::string& zone, Instant now)
 {
     m_linked.insert(name);
+    m_zones[name] = zone;
     if (isLeader() && name != m_settings.self && !m_progress.contains(name))
         m_progress[name] = freshProgress(lastIndex() + 1, diskOf(name), now);
     hastenFirstElection(now);
@@ -83,19 +93,40 @@
 {
     if (m_members != m_appliedMembers || termAt(m_commit) != m_hard.term)
         return;
-    std::vector<membership::Candidate> others;
+    auto planned = plannedMembers(now);
+    if (planned == m_members)
+        return;
+    auto isNew = [this](const auto& name) { return !isMember(name); };
+    auto added = std::find_if(planned.begin(), planned.end(), isNew);
+    if (added == planned.end())
+        return proposeMembers(std::move(planned), now);
+    // The disk is registered first: a member that may not vote yet takes part in no majority, and two losses right after the
+    // change would find the members short of one more.
+    const auto& progress = m_progress.at(*added);
+    if (acknowledges(*added, progress))
+        return proposeMembers(std::move(planned), now);
+    if (registerDisk(*added, progress.disk))
+        broadcast(now);
+}
+
+std::vector<std::string> Raft::plannedMembers(Instant now) const
+{
+    membership::View view { m_members, m_settings.self, m_settings.zone, {}, m_commit, m_settings.lossesToBear };
     for (const auto& [name, progress] : m_progress) {
-        bool isLinked = m_linked.contains(name);
-        others.push_back({ name, "", isLinked, false, true, progress.match, now - progress.heardAt });
+        auto zone = m_zones.find(name);
+        view.others.push_back({ name, zone == m_zones.end() ? std::string() : zone->second, m_linked.contains(name), progress.isDiskless,
+            acknowledges(name, progress), progress.match, now - progress.heardAt });
     }
-    auto members = membership::plan({ m_members, m_settings.self, m_settings.zone, std::move(others), m_commit, m_settings.lossesToBear });
-    if (!members)
-        return;
+    return membership::plan(view).value_or(m_members);
+}
+
+void Raft::proposeMembers(std::vector<std::string> members, Instant now)
+{
     std::string text;
-    for (const auto& name : *members)
+    for (const auto& name : members)
         text += (text.empty() ? "" : ", ") + name;
     m_effects.push_back(Note { EventCode::MembersChanged, {}, text });
-    appendOwn(MembersCommand { std::move(*members) });
+    appendOwn(MembersCommand { std::move(members) });
     registerDisks();
     broadcast(now);
     advanceCommit();
