controller.losses-to-bear; a controller without a disk serves without a vote

Cause: the plan needs the operator's number, and a process whose data folder is empty refused its settings and ended. Without controller.data a controller that finds its group by seeds keeps its log in memory, founds nothing and never votes; its door works through the leader. SettingsErrorTest has five mistakes more.

--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -21,12 +21,16 @@
         raft::Settings raft;
         const auto& controller = settings.controller;
         raft.isDynamic = !controller.seeds.empty();
+        raft.zone = settings.zone;
+        raft.lossesToBear = controller.lossesToBear;
         raft.self = raft.isDynamic ? settings.listen : settings.name;
         raft.isNewCluster = controller.isNewCluster;
         for (const auto& member : controller.members)
             raft.members.push_back(member.name);
         bool isFounder = std::find(controller.seeds.begin(), controller.seeds.end(), raft.self) != controller.seeds.end();
-        if (raft.isDynamic && raft.isNewCluster && isFounder)
+        // Who keeps nothing founds nothing: it would vote again for others after a restart.
+        bool keepsLog = disk != DiskId();
+        if (raft.isDynamic && raft.isNewCluster && isFounder && keepsLog)
             raft.members = controller.seeds;
         else if (raft.isDynamic)
             raft.isNewCluster = false;
@@ -94,7 +98,7 @@
 
 Result<Json> ControllerRole::start()
 {
-    auto recovered = m_storage.open(m_settings.controller.data, DiskId(randomIdentity()));
+    auto recovered = recoverLog();
     if (!recovered)
         return recovered.error();
     if (m_storage.cutBytes())
@@ -120,11 +124,19 @@
     return Json { { "admin", adminAddress.value() }, { "peers", peers.value() } };
 }
 
+/// What the disk holds; nothing without one.
+Result<raft::Recovered> ControllerRole::recoverLog()
+{
+    if (!hasDisk())
+        return raft::Recovered {};
+    return m_storage.open(m_settings.controller.data, DiskId(randomIdentity()));
+}
+
 /// Before anything listens, so that no announcement comes earlier than what is remembered.
 void ControllerRole::startRegistrar()
 {
     std::vector<Announcement> remembered;
-    if (isDynamic()) {
+    if (isDynamic() && hasDisk()) {
         m_replicaMemory.emplace(m_settings.controller.data, m_runtime.log());
         m_registrar.onChange = [this](std::vector<Announcement> list) { m_replicaMemory->save(std::move(list)); };
         remembered = m_replicaMemory->load();
@@ -242,7 +254,7 @@
                 return false;
             m_queue.clear();
         }
-        auto recovered = m_storage.open(m_settings.controller.data, DiskId(randomIdentity()));
+        auto recovered = recoverLog();
         if (isFirst || recovered)
             m_runtime.log().write({ EventCode::StorageReopened, {}, recovered ? "read again" : recovered.error().message });
         if (!recovered)
@@ -258,21 +270,30 @@
     }
 }
 
-/// Carries a batch's effects out: first all records with one sync, then the rest in order.
-bool ControllerRole::carry(ControllerLogic::Effects& effects)
+/// Writes all records of a batch with one sync.
+Result<void> ControllerRole::store(const ControllerLogic::Effects& effects)
 {
     bool needsSync = false;
-    Result<void> stored = BOOST_OUTCOME_V2_NAMESPACE::success();
     for (const auto& effect : effects) {
-        if (const auto* persist = std::get_if<raft::Persist>(&effect); persist && stored) {
+        if (const auto* persist = std::get_if<raft::Persist>(&effect)) {
             m_storage.append(*persist);
             needsSync = true;
-        } else if (const auto* save = std::get_if<raft::SaveSnapshot>(&effect); save && stored) {
-            stored = m_storage.saveSnapshot(save->snapshot);
+        } else if (const auto* save = std::get_if<raft::SaveSnapshot>(&effect)) {
+            if (auto stored = m_storage.saveSnapshot(save->snapshot); !stored)
+                return stored;
         }
     }
-    if (stored && needsSync)
-        stored = m_storage.sync();
+    if (needsSync)
+        return m_storage.sync();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+/// Carries a batch's effects out: first all records with one sync, then the rest in order.
+bool ControllerRole::carry(ControllerLogic::Effects& effects)
+{
+    Result<void> stored = BOOST_OUTCOME_V2_NAMESPACE::success();
+    if (hasDisk())
+        stored = store(effects);
     if (!stored) {
         // What could not be stored must never be told to anyone: stop here, before any message leaves.
         m_runtime.log().write({ EventCode::StorageReopened, {}, std::string(nameOf(stored.error().code)) + ": " + stored.error().message });
--- a/src/process/ControllerRole.h
+++ b/src/process/ControllerRole.h
@@ -51,12 +51,15 @@
     void post(controller::Event);
     void loop();
     bool carry(ControllerLogic::Effects&);
+    Result<void> store(const ControllerLogic::Effects&);
+    Result<raft::Recovered> recoverLog();
     bool reopenStorage();
     void onPeerUp(const Hello&);
     void onMessage(PeerId, Message&&);
     void startRegistrar();
     void tellRoster(PeerId);
     [[nodiscard]] bool isDynamic() const { return !m_settings.controller.seeds.empty(); }
+    [[nodiscard]] bool hasDisk() const { return !m_settings.controller.data.empty(); }
     std::uint64_t newTicket(Answered);
     void answer(std::uint64_t ticket, ProposeReply);
     void refuseTickets();
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -83,6 +83,18 @@
         return value;
     }
 
+    /// Each loss costs two more voters, and every change waits for a majority of them.
+    constexpr std::uint64_t mostLossesToBear = 10;
+    Result<std::uint64_t> parseLosses(const std::string& text)
+    {
+        auto value = parseCount(text);
+        if (value && value.value() > mostLossesToBear)
+            return bad("'" + text + "' is out of range: write a whole number from 0 to " + std::to_string(mostLossesToBear));
+        return value;
+    }
+
+    Result<std::string> parseAnything(const std::string& text) { return text; }
+
     Result<Duration> parsePositiveDuration(const std::string& text)
     {
         auto value = parseDuration(text);
@@ -139,7 +151,7 @@
 
     void readController(SettingsNode node, const std::string& self, ControllerSettings& controller)
     {
-        node.required("data", controller.data, parseText);
+        node.optional("data", controller.data, parseAnything);
         node.optional("new-cluster", controller.isNewCluster, parseYesNo);
         node.maps("members", [&controller](SettingsNode& one) {
             MemberSettings member;
@@ -148,6 +160,7 @@
             controller.members.push_back(member);
         });
         node.list("seeds", controller.seeds, parseAddress);
+        node.optional("losses-to-bear", controller.lossesToBear, parseLosses);
         node.optional("door", controller.door, parseAddress);
         node.optional("election-timeout", controller.electionTimeout, parsePositiveDuration);
         node.optional("heartbeat", controller.heartbeat, parsePositiveDuration);
@@ -160,6 +173,10 @@
                 node.mistake("members", "are found by `seeds` here; remove one of the two");
             return;
         }
+        if (controller.data.empty())
+            node.missing("data");
+        if (controller.lossesToBear)
+            node.mistake("losses-to-bear", "needs `seeds`: listed `members` don't change; list two for each loss and one more");
         auto isSelf = [&self](const MemberSettings& member) { return member.name == self; };
         if (std::count_if(controller.members.begin(), controller.members.end(), isSelf) != 1)
             node.mistake("members", "must list this controller '" + self + "' exactly once");
--- a/src/process/Settings.h
+++ b/src/process/Settings.h
@@ -38,11 +38,13 @@
 };
 
 struct ControllerSettings {
-    std::string data;
+    std::string data; ///< Empty: no disk. Such a controller found its group by seeds, learns the log and never votes.
     std::vector<MemberSettings> members;
     bool isNewCluster = false;
     /// Where the log's members change while it runs: the peer addresses of some controllers, the founders at the first start.
     std::vector<std::string> seeds;
+    /// How many controllers may be lost at once: the log keeps 2f + 1 voters where there are disks enough. Zero: as many as founded it.
+    std::uint32_t lossesToBear = 0;
     std::string door; ///< Where replicas announce themselves and operators send routing documents.
     Duration electionTimeout = 400ms;
     Duration heartbeat = 80ms;
--- a/test/error/SettingsErrorTest.cpp
+++ b/test/error/SettingsErrorTest.cpp
@@ -20,6 +20,9 @@
                                "d\n  members:\n    - { name: c, "
                                "address: \"127.0.0.1:1\" }\n";
 
+const std::string seeded = "role: controller\nname: c\nsite: s\nzone: z\nadmin: 127.0.0.1:0\nlisten: 127.0.0.1:0\ncontroller:\n  data: "
+                           "d\n  seeds: [127.0.0.1:1]\n  losses-to-bear: 2\n";
+
 struct Mistake {
     std::string text;
     std::string named; ///< What the message must name.
@@ -103,6 +106,11 @@
         { controller + "    - x\n", "controller.members: write a list of maps" },
         { controller + "    - { name: e, address: \"127.0.0.1:2\", weight: 3 }\n", "controller.members.weight: unknown key" },
         { controller + "  new-cluster: maybe\n", "controller.new-cluster" },
+        { replaced(controller, "data: d", "data: ''"), "controller.data: is missing" },
+        { controller + "  losses-to-bear: 1\n", "f:11: controller.losses-to-bear: needs `seeds`" },
+        { replaced(seeded, "bear: 2", "bear: two"), "f:10: controller.losses-to-bear" },
+        { replaced(seeded, "bear: 2", "bear: -1"), "f:10: controller.losses-to-bear" },
+        { replaced(seeded, "bear: 2", "bear: 11"), "controller.losses-to-bear: '11' is out of range: write a whole number from 0 to 10" },
     };
     return list;
 }
@@ -111,7 +119,8 @@
 
 TEST_CASE("good settings are taken")
 {
-    for (const auto& text : { gateway, sidecar, controller }) {
+    // A controller that finds its group by seeds may be without a disk.
+    for (const auto& text : { gateway, sidecar, controller, seeded, replaced(seeded, "data: d", "data: ''") }) {
         auto settings = parseSettings(text, "f");
         CHECK_MESSAGE(settings, (settings ? "" : settings.error().message));
     }
