--- a/src/version/ControllerLogic.cpp
+++ b/src/version/ControllerLogic.cpp
@@ -46,7 +46,7 @@
     if (memberAt(event.peer.id)) {
         m_byName[event.peer.name] = event.peer.id;
         if (m_settings.isDynamic)
-            m_raft.meet(event.peer.name, now);
+            m_raft.meet(event.peer.name, event.peer.zone, now);
     }
     if (event.peer.role == Role::Gateway)
         m_documentSource.meet(event.peer.id);
@@ -395,7 +395,7 @@
         } else if (auto* restore = std::get_if<raft::Restore>(&effect)) {
             if (!m_state.load(restore->snapshot.bytes))
                 internalError("a snapshot that passed its checksum can't be read");
-            m_raft.restoreMembers(m_state.members());
+            m_raft.restoreMembers(m_state.members(), m_state.zones());
             m_raft.restoreDisks(m_state.disks());
         } else if (auto* changed = std::get_if<raft::LeaderChanged>(&effect)) {
             for (auto& [peer, watcher] : m_watchers)
--- a/src/version/Raft.h
+++ b/src/version/Raft.h
@@ -9,7 +9,8 @@
  * - snapshots in chunks for a member that hundreds of changes have passed by;
  * - disk identities: a member counts only with the disk that the log has registered for it. One that lost its disk has
  *   forgotten its votes and acknowledgements; counted under its old name it could help elect a leader without a committed
- *   entry. It therefore neither votes nor counts until the log itself, by a majority without it, registers the new disk.
+ *   entry. It therefore neither votes nor counts until the log itself, by a majority without it, registers the new disk;
+ *   it says in each reply whether it knows that this has been committed.
  *
  * The driver carries out the effects of one step in order; `Persist` and `SaveSnapshot` must be durable before any
  * later effect is carried out.
@@ -59,6 +60,9 @@
         std::vector<std::string> members; ///< The founders, this one included; the log may change them later.
         /// Founders write their names as the first entry, and the leader replaces members that stay away by learners.
         bool isDynamic = false;
+        std::string zone; ///< The availability zone of this controller.
+        /// How many members may be lost at once: 2f + 1 members are kept where there are disks enough. Zero: as many as founded the log.
+        std::size_t lossesToBear = 0;
         DiskId disk;
         bool isNewCluster = false; ///< A fresh disk may vote only in a cluster that is being founded.
         Duration electionTimeout = 400ms; ///< Elections start after one to two of these without a leader.
@@ -115,14 +119,15 @@
     Effects flush(Instant now);
     /// Asks for a linearizable read. \returns a ticket that comes back as ReadReady, or zero if this is not the leader.
     std::uint64_t requestRead(Effects&, Instant now);
-    /// A controller is linked: if it doesn't vote, it learns. \param now when the link came up.
-    void meet(const std::string& name, Instant now);
+    /// A controller is linked: if it doesn't vote, it learns. \param zone its availability zone. \param now when the link came up.
+    void meet(const std::string& name, const std::string& zone, Instant now);
     /// The link to a controller is gone; a learner is forgotten until it comes back.
     void lose(const std::string& name);
     /// Whether this state is the newest that a majority has accepted, as far as a member that hears its leader can know.
     [[nodiscard]] bool isCurrent(Instant now) const;
     [[nodiscard]] const std::vector<std::string>& members() const { return m_members; }
-    void restoreMembers(std::vector<std::string>);
+    /// Restores the members with the state that a snapshot holds. \param zones where controllers are, as far as the log knows.
+    void restoreMembers(std::vector<std::string>, const std::map<std::string, std::string>& zones);
     /// Replaces the applied part of the log by a snapshot of the state after it.
     Effects compact(std::string stateBytes);
 
@@ -156,6 +161,8 @@
         Instant heardAt;
         Instant sentAt;
         DiskId disk;
+        bool isVoter = false; ///< It knows that this disk is registered.
+        bool isDiskless = false;
         std::uint64_t snapshotOffset = 0;
     };
     struct Read {
@@ -187,11 +194,14 @@
     void answerReads();
     void checkQuorum(Instant);
     void registerDisks();
+    bool registerDisk(const std::string& member, DiskId);
     void resetElectionTimer(Instant);
     void hastenFirstElection(Instant);
     void persistHardState();
     [[nodiscard]] DiskId diskOf(const std::string& member) const;
     [[nodiscard]] bool counts(const std::string& member, DiskId) const;
+    [[nodiscard]] bool acknowledges(const std::string& member, const Progress&) const;
+    [[nodiscard]] AppendReply appendReply(const AppendRequest&, bool accepted, std::uint64_t match) const;
     [[nodiscard]] bool isUpToDate(std::uint64_t lastIndex, std::uint64_t lastTerm) const;
     [[nodiscard]] std::uint64_t termAt(std::uint64_t index) const;
     [[nodiscard]] const LogEntry& entryAt(std::uint64_t index) const { return m_entries[index - m_snapshot.lastIndex - 1]; }
@@ -199,6 +209,8 @@
     void noteEntry(const LogEntry&);
     void setVoter(bool);
     void changeMembers(Instant);
+    [[nodiscard]] std::vector<std::string> plannedMembers(Instant) const;
+    void proposeMembers(std::vector<std::string>, Instant);
     [[nodiscard]] bool isMember(const std::string& name) const;
     [[nodiscard]] std::size_t selfCount() const { return isMember(m_settings.self) ? 1 : 0; }
 
@@ -220,6 +232,8 @@
     std::uint64_t m_leaderCommit = 0; ///< The commit index that the leader told last.
     std::set<std::pair<std::string, DiskId>> m_registering;
     std::set<std::string> m_linked; ///< The controllers that a link is up to, members or not.
+    /// Where controllers are, by their own word or the log's. It decides only who is preferred, so a void entry does no harm.
+    std::map<std::string, std::string> m_zones;
     std::vector<Read> m_reads;
     std::uint64_t m_lastTicket = 0;
     std::uint64_t m_round = 0;
