Announcements, configurations and replicas' reports are read strictly; a refusal can always be written

Cause: what an entry lacked was made up: an unknown state counted as ready, missing slots as one, a missing sequence as zero. Numbers went straight into unsigned types: a configuration with version -1 became version 2^64-1, which none could follow; 1e300 ms became a time of zero. Two inputs ended the process, since the exception left the handler: a refusal that quotes a byte that is no UTF-8 (GET /\xff at the door, or a body of such a byte), and a report whose `busy` is no flag. A replica's handle with an end of line in it became a header of its own.

MessageCheck holds the bounds that doors, links and disks share.

Ruled out: refusing what is merely large (a proper configuration must not be refused); reading `slots` of 64.0 (another type).

--- /dev/null
+++ b/src/connection/MessageCheck.cpp
@@ -0,0 +1,171 @@
+#include "connection/MessageCheck.h"
+
+#include "connection/Endpoint.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wrenhinge {
+
+namespace {
+
+    using Fault = std::optional<std::string>;
+
+    /// Room for `[IPv6]:port` with all its digits.
+    constexpr std::size_t longestAddress = 64;
+    /// An age is taken on one clock, which other threads may have read a moment later.
+    constexpr Duration clockSlack = 1s;
+    /// One region has at most some tens of controllers.
+    constexpr std::size_t mostControllers = 1024;
+
+    /// Visible characters that end a part of a path or change its meaning.
+    constexpr std::string_view separators = "/?#%";
+
+    bool isVisible(char c) { return c > ' ' && c <= '~'; }
+
+    Fault wrong(const std::string& field, const std::string& expected, const std::string& came)
+    {
+        return "`" + field + "` must be " + expected + ", but is '" + readable(came, 40) + "'";
+    }
+
+    Fault faultOfName(const std::string& field, const std::string& name)
+    {
+        if (isPlainText(name))
+            return std::nullopt;
+        return wrong(field, "1 to " + std::to_string(longestName) + " bytes without control characters", name);
+    }
+
+    Fault faultOfId(const std::string& id)
+    {
+        if (isToken(id))
+            return std::nullopt;
+        return wrong("id", "1 to " + std::to_string(longestName) + " characters that can stand in a path", id);
+    }
+
+    Fault faultOfAge(Duration age)
+    {
+        if (age >= -clockSlack && age <= longestSpan)
+            return std::nullopt;
+        return wrong("age", "a span of time from zero", std::to_string(age.count()) + " us");
+    }
+
+    Fault check(const Announced& announced)
+    {
+        if (auto fault = faultOf(announced.announcement))
+            return fault;
+        return faultOfAge(announced.age);
+    }
+
+    Fault check(const Withdrawn& withdrawn) { return faultOfId(withdrawn.id); }
+
+    Fault check(const StageChange& change)
+    {
+        if (change.lasts < Duration::zero() || change.lasts > longestSpan)
+            return wrong("lasts", "a span of time from zero", std::to_string(change.lasts.count()) + " us");
+        return faultOfId(change.id);
+    }
+
+    Fault check(const RegistryPulse& pulse)
+    {
+        for (const auto& [id, age] : pulse.ages) {
+            if (auto fault = faultOfAge(age))
+                return fault;
+        }
+        return std::nullopt;
+    }
+
+    Fault check(const EngineLoadReport& report)
+    {
+        for (const auto& [service, busy] : report.services) {
+            if (!std::isfinite(busy.prefill) || !std::isfinite(busy.decode))
+                return wrong("services", "finite loads", service);
+            if (busy.stageChange < Duration::zero() || busy.stageChange > longestSpan)
+                return wrong("stageChange", "a span of time from zero", std::to_string(busy.stageChange.count()) + " us");
+        }
+        return std::nullopt;
+    }
+
+    Fault check(const ControllerRoster& roster)
+    {
+        if (roster.addresses.size() > mostControllers)
+            return wrong("addresses", "at most " + std::to_string(mostControllers), std::to_string(roster.addresses.size()));
+        for (const auto& address : roster.addresses) {
+            if (!isAddress(address))
+                return wrong("addresses", "IP:PORT each", address);
+        }
+        return std::nullopt;
+    }
+
+    Fault check(const Hello& hello)
+    {
+        if (hello.id == PeerId())
+            return wrong("id", "drawn at the start of the process", "0");
+        for (const auto& [field, text] :
+            { std::pair("name", &hello.name), { "site", &hello.site }, { "zone", &hello.zone }, { "adminAddress", &hello.adminAddress } }) {
+            if (!text->empty() && !isPlainText(*text))
+                return faultOfName(field, *text);
+        }
+        return std::nullopt;
+    }
+
+    template <typename T> Fault check(const T&) { return std::nullopt; }
+
+} // namespace
+
+bool isPlainText(std::string_view text, std::size_t most)
+{
+    return !text.empty() && text.size() <= most
+        && std::none_of(text.begin(), text.end(), [](unsigned char c) { return c < ' ' || c == 0x7f; });
+}
+
+bool isToken(std::string_view text, std::size_t most)
+{
+    return !text.empty() && text.size() <= most
+        && std::all_of(text.begin(), text.end(), [](char c) { return isVisible(c) && separators.find(c) == std::string_view::npos; });
+}
+
+bool isAddress(const std::string& address)
+{
+    if (address.empty() || address.size() > longestAddress || !std::all_of(address.begin(), address.end(), isVisible))
+        return false;
+    auto endpoint = parseEndpoint(address);
+    return endpoint && endpoint.value().port() > 0;
+}
+
+std::optional<std::string> faultOf(const Announcement& announcement)
+{
+    if (auto fault = faultOfId(announcement.id))
+        return fault;
+    if (auto fault = faultOfName("service", announcement.service))
+        return fault;
+    if (!isAddress(announcement.address))
+        return wrong("address", "IP:PORT", announcement.address);
+    if (auto fault = faultOfName("zone", announcement.zone))
+        return fault;
+    if (announcement.softwareVersion.size() > longestName)
+        return wrong("softwareVersion", "at most " + std::to_string(longestName) + " bytes", announcement.softwareVersion);
+    if (!announcement.slots || announcement.slots > mostSlots)
+        return wrong("slots", "1 to " + std::to_string(mostSlots), std::to_string(announcement.slots));
+    if (announcement.coldLeft < Duration::zero() || announcement.coldLeft > longestSpan)
+        return wrong("coldLeft", "a span of time from zero", std::to_string(announcement.coldLeft.count()) + " us");
+    if (announcement.sequence > highestSequence)
+        return wrong("sequence", "at most 2^53", std::to_string(announcement.sequence));
+    return std::nullopt;
+}
+
+std::optional<std::string> faultOf(const Message& message)
+{
+    return std::visit([](const auto& m) { return check(m); }, message);
+}
+
+std::string readable(std::string_view text, std::size_t most)
+{
+    constexpr std::string_view cut = "...";
+    std::string out(text.substr(0, most));
+    std::transform(out.begin(), out.end(), out.begin(), [](char c) { return c == ' ' || isVisible(c) ? c : '?'; });
+    if (text.size() > most && most > cut.size())
+        out.replace(most - cut.size(), cut.size(), cut);
+    return out;
+}
+
+} // namespace wrenhinge
