What can't be used is counted, told at a bounded rate and kept out of memory: doors, links, the replicas' list

Cause: a number that an enumeration doesn't have was cast as it came from a link, and looking up the name of an unknown result code ends the process; one entry of another release made a controller forget its whole list of replicas; announcements of a service that nobody configured, each under an id of its own, were all kept for a minute; a link that came up and ended at once was dialled again every 50 to 100 ms for ever; a refused announcement left no line in the log.

Change: enumerations and spans of time are checked where messages are decoded (MsgpackAdaptors), fields where they would do harm (MessageCheck); a message that can't be used ends its link alone, is counted and told (PeerLink, Refusals), and a link that lasted under 2 s counts as a failed dial (DialBackoff). Before its Hello a peer may send 64 KiB. The replicas' list is read entry by entry. RegistryBounds lets in 24,000 ids, 12,000 of one service; a known id is always heard, what is over is a 503. Refusals: event 517 with the door, the writer as far as the door knows it and the field, two lines a second a door with the count since the last; counters in the metrics of each role. Answers to calls of our own are kept up to 1 MiB.

Ruled out: skipping the message and keeping the link (its sender would believe that it was heard); bounding entries by the services of the configuration (replicas come before it). ReplicaMemoryTest's replicas had no service, slots or address; they have now.

--- a/src/base/EventCode.cpp
+++ b/src/base/EventCode.cpp
@@ -65,6 +65,7 @@
         EventRow { EventCode::StageOrdered, "STAGE_ORDERED" },
         EventRow { EventCode::StageOrderFailed, "STAGE_ORDER_FAILED" },
         EventRow { EventCode::ReplicasForgotten, "REPLICAS_FORGOTTEN" },
+        EventRow { EventCode::EntryRefused, "ENTRY_REFUSED" },
     };
 
 } // namespace
--- a/src/base/EventCode.h
+++ b/src/base/EventCode.h
@@ -76,6 +76,7 @@
     StageOrdered = 514,
     StageOrderFailed = 515,
     ReplicasForgotten = 516,
+    EntryRefused = 517,
 };
 
 struct EventRow {
--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -1,5 +1,6 @@
 #include "base/ResultCode.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <cstdlib>
@@ -70,6 +71,11 @@
     return codes;
 }
 
+bool isResultCode(std::int64_t number)
+{
+    return std::any_of(codeTable.begin(), codeTable.end(), [number](const CodeRow& row) { return static_cast<int>(row.code) == number; });
+}
+
 std::string_view nameOf(ResultCode code) { return rowOf(code).name; }
 
 std::string_view outcomeOf(ResultCode code) { return rowOf(code).outcome; }
--- a/src/base/ResultCode.h
+++ b/src/base/ResultCode.h
@@ -59,6 +59,9 @@
 /// All codes, in order of their numbers.
 std::vector<ResultCode> allResultCodes();
 
+/// Whether a code has this number. What comes from another process may have one that is not known here.
+bool isResultCode(std::int64_t number);
+
 /// The stable upper-case name of a code, as logs and JSON give it.
 std::string_view nameOf(ResultCode);
 
--- a/src/connection/PeerHub.cpp
+++ b/src/connection/PeerHub.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    constexpr Duration firstRetry = 50ms;
-    constexpr Duration longestRetry = 1s;
     /// An address without power or behind a cut answers nothing, and the system sends its opening packet again only after a second,
     /// when the address may have been back for most of it. Several round trips between regions. Gateways that had started 0.4 s
     /// before the controllers had their links 0.6 s after these with a limit of 1 s.
@@ -51,7 +49,7 @@
         if (address == m_self.name || !m_dialled.insert(address).second)
             return;
     }
-    dialAfter(address, Duration::zero(), 0);
+    dialAfter(address, Duration::zero(), {});
 }
 
 bool PeerHub::isLinkedByName(const std::string& name) const
@@ -69,23 +67,25 @@
     return isDialledByUs == (m_self.id < peer);
 }
 
-void PeerHub::dialAfter(const std::string& address, Duration delay, int failures)
+void PeerHub::dialAfter(const std::string& address, Duration delay, DialBackoff backoff)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, delay);
-    timer->async_wait([this, address, failures, timer](ErrorCode) { connect(address, failures); });
+    timer->async_wait([this, address, backoff, timer](ErrorCode) { connect(address, backoff); });
 }
 
-void PeerHub::connect(const std::string& address, int failures)
+void PeerHub::connect(const std::string& address, DialBackoff backoff)
 {
     Duration spread {};
     {
         std::lock_guard lock(m_mutex);
         if (m_stopped)
             return;
-        auto ceiling = std::min(longestRetry, firstRetry * (1 << std::min(failures, 5)));
+        auto ceiling = backoff.ceiling();
         spread = std::uniform_int_distribution<std::int64_t>(ceiling.count() / 2, ceiling.count())(m_random) * 1us;
-        if (isLinkedByName(address))
-            return dialAfter(address, longestRetry, 0);
+        if (isLinkedByName(address)) {
+            backoff.linkedOtherwise();
+            return dialAfter(address, DialBackoff::longestRetry, backoff);
+        }
     }
     auto endpoint = parseEndpoint(address);
     if (!endpoint)
@@ -97,11 +97,17 @@
         if (!ec)
             socket->close(ignored);
     });
-    socket->async_connect(endpoint.value(), [this, socket, limit, address, failures, spread](ErrorCode ec) {
+    socket->async_connect(endpoint.value(), [this, socket, limit, address, backoff, spread](ErrorCode ec) mutable {
         limit->cancel();
-        if (ec || !socket->is_open())
-            return dialAfter(address, spread, failures + 1);
-        adopt(PeerLink::make(std::move(*socket), PeerLink::Side::Dialled), [this, address, spread] { dialAfter(address, spread, 1); });
+        if (ec || !socket->is_open()) {
+            backoff.connectFailed();
+            return dialAfter(address, spread, backoff);
+        }
+        auto onClosed = [this, address, backoff, spread, since = std::chrono::steady_clock::now()]() mutable {
+            backoff.linkEnded(duration_cast<Duration>(std::chrono::steady_clock::now() - since));
+            dialAfter(address, spread, backoff);
+        };
+        adopt(PeerLink::make(std::move(*socket), PeerLink::Side::Dialled), onClosed);
     });
 }
 
@@ -155,7 +161,7 @@
             m_handlers.onDown(*peer);
         onClosed();
     };
-    link->start({ onMessage, onGone });
+    link->start({ onMessage, onGone, m_handlers.onFault });
     link->send(self(), m_handlers.stampSend());
 }
 
--- a/src/connection/PeerHub.h
+++ b/src/connection/PeerHub.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "connection/DialBackoff.h"
 #include "connection/PeerLink.h"
 
 #include <atomic>
@@ -29,6 +30,8 @@
         std::function<void(PeerId, Message&&)> onMessage;
         std::function<HybridTime()> stampSend;
         std::function<void(HybridTime)> stampReceive;
+        /// A peer said what can't be used; its link ends.
+        std::function<void(const std::string& from, const std::string& what)> onFault {};
     };
 
     PeerHub(IoContext&, Hello self, Handlers);
@@ -57,8 +60,8 @@
 private:
     void accept();
     void adopt(const std::shared_ptr<PeerLink>&, std::function<void()> onClosed);
-    void dialAfter(const std::string& address, Duration delay, int failures);
-    void connect(const std::string& address, int failures);
+    void dialAfter(const std::string& address, Duration delay, DialBackoff);
+    void connect(const std::string& address, DialBackoff);
     bool takesOver(const std::shared_ptr<PeerLink>& former, const std::shared_ptr<PeerLink>& link, PeerId peer) const;
     [[nodiscard]] bool isLinkedByName(const std::string& name) const;
     Hello self();
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include "connection/PeerLink.h"
 
+#include "connection/MessageCheck.h"
 #include "message/Codec.h"
 
 #include <cstring>
@@ -42,6 +43,12 @@
         return stamp;
     }
 
+    std::string describe(std::string_view bytes)
+    {
+        auto type = typeIndex(bytes);
+        return "a message of " + (type ? "type " + std::to_string(*type) : "no type") + ", " + std::to_string(bytes.size()) + " bytes";
+    }
+
 } // namespace
 
 /// The C callbacks that nghttp2 wants, kept out of the header.
@@ -209,7 +216,7 @@
     m_lastHeard = std::chrono::steady_clock::now();
     auto taken = nghttp2_session_mem_recv(m_session, reinterpret_cast<const std::uint8_t*>(m_readBuffer.data()), n);
     if (taken < 0)
-        return fail();
+        return refuse("bytes that are no HTTP/2");
     takeMessages();
     if (m_closed)
         return;
@@ -224,13 +231,18 @@
     while (!m_closed && m_inbox.size() - at >= prefixBytes) {
         std::uint32_t n = 0;
         std::memcpy(&n, m_inbox.data() + at, lengthBytes);
-        if (n > messageLimit)
-            return fail();
+        if (n > (m_isIntroduced ? messageLimit : firstMessageLimit))
+            return refuse("a message of " + std::to_string(n) + " bytes");
         if (m_inbox.size() - at - prefixBytes < n)
             break;
-        auto message = decode(std::string_view(m_inbox).substr(at + prefixBytes, n));
-        if (!message)
-            return fail();
+        auto bytes = std::string_view(m_inbox).substr(at + prefixBytes, n);
+        auto message = decode(bytes);
+        auto fault = message ? faultOf(*message) : "fields of other types, or a type that is not known here";
+        if (!fault && !m_isIntroduced && !std::holds_alternative<Hello>(*message))
+            fault = "it comes before a Hello";
+        if (fault)
+            return refuse(describe(bytes) + ": " + *fault);
+        m_isIntroduced = true;
         auto stamp = stampIn(m_inbox.data() + at);
         at += prefixBytes + n;
         m_handlers.onMessage(stamp, std::move(*message));
@@ -255,6 +267,17 @@
     });
 }
 
+/// A peer of another release, or one that is no peer. Only this link ends: what else it would say can't be trusted to mean what we
+/// think, and skipping one message would leave its sender believing that it was heard.
+void PeerLink::refuse(const std::string& what)
+{
+    ErrorCode ec;
+    auto peer = m_socket.remote_endpoint(ec);
+    if (m_handlers.onFault && !m_closed)
+        m_handlers.onFault(ec ? "a closed link" : peer.address().to_string() + ":" + std::to_string(peer.port()), what);
+    fail();
+}
+
 void PeerLink::fail()
 {
     if (m_closed)
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -27,10 +27,11 @@
 public:
     enum class Side : std::uint8_t { Dialled, Accepted };
 
-    /// What the owner of a link hears. `onClosed` comes exactly once.
+    /// What the owner of a link hears. `onClosed` comes exactly once, after `onFault` if what came can't be used.
     struct Handlers {
         std::function<void(HybridTime, Message&&)> onMessage;
         std::function<void()> onClosed;
+        std::function<void(const std::string& from, const std::string& what)> onFault {};
     };
 
     /// After this long without a byte from the peer the link asks with a PING.
@@ -39,6 +40,8 @@
     static constexpr Duration silenceLimit = 1500ms;
     /// A longer message is a protocol error.
     static constexpr std::size_t messageLimit = 64u << 20;
+    /// The first message, a Hello, is some hundred bytes. Whoever has not said who it is may not fill our memory.
+    static constexpr std::size_t firstMessageLimit = 64u << 10;
 
     static std::shared_ptr<PeerLink> make(Tcp::socket, Side);
     PeerLink(Tcp::socket, Side);
@@ -65,6 +68,7 @@
     void write();
     void watchSilence();
     void fail();
+    void refuse(const std::string& what);
     void countQueued() { m_queuedBytes = m_outbox.size() - m_outboxTaken + (m_writing ? m_wire.size() : 0); }
 
     Tcp::socket m_socket;
@@ -80,6 +84,7 @@
     std::array<char, 65536> m_readBuffer {};
     boost::asio::steady_timer m_silenceTimer;
     std::chrono::steady_clock::time_point m_lastHeard;
+    bool m_isIntroduced = false; ///< A Hello has come.
     bool m_writing = false;
     bool m_closed = false;
     bool m_closing = false;
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -344,6 +344,10 @@
     m_idle.erase(it);
 }
 
+/// Answers to calls of our own are some hundred bytes. A replica that hands out wrong bytes may send them without end; what is longer
+/// is cut, and its reader finds no whole answer in it.
+constexpr std::size_t gatheredLimit = 1u << 20;
+
 UpstreamCallHandlers gather(
     std::function<void(const GatheredAnswer&)> onEnd, std::function<void(bool mayHaveRun, const std::string& why)> onFailure)
 {
@@ -351,7 +355,10 @@
     UpstreamCallHandlers handlers;
     handlers.whose = [](const UpstreamHead&) { return AnswerOwner::ThisCall; };
     handlers.onHead = [answer](const UpstreamHead& head) { answer->head = head; };
-    handlers.onBody = [answer](const std::string& bytes) { answer->body += bytes; };
+    handlers.onBody = [answer](const std::string& bytes) {
+        if (answer->body.size() <= gatheredLimit)
+            answer->body += bytes;
+    };
     handlers.onEnd = [answer, onEnd = std::move(onEnd)] { onEnd(*answer); };
     handlers.onFailure = std::move(onFailure);
     return handlers;
--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -26,14 +26,15 @@
 /// Urgent goes before Normal in every queue.
 enum class Priority : std::uint8_t { Urgent, Normal };
 
-} // namespace wrenhinge
-
-MSGPACK_ADD_ENUM(wrenhinge::Role)
-MSGPACK_ADD_ENUM(wrenhinge::UpstreamKind)
-MSGPACK_ADD_ENUM(wrenhinge::Priority)
-MSGPACK_ADD_ENUM(wrenhinge::ResultCode)
-
-namespace wrenhinge {
+template <> struct WireEnum<Role> : WireEnumUpTo<Role::Controller> {
+};
+template <> struct WireEnum<UpstreamKind> : WireEnumUpTo<UpstreamKind::Plain> {
+};
+template <> struct WireEnum<Priority> : WireEnumUpTo<Priority::Normal> {
+};
+template <> struct WireEnum<ResultCode> {
+    static bool isKnown(std::int64_t n) { return isResultCode(n); }
+};
 
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
@@ -146,10 +147,8 @@
 };
 
 enum class AdmissionState : std::uint8_t { NeverAdmitted, Running, Finished, Broken };
-
-} // namespace wrenhinge
-MSGPACK_ADD_ENUM(wrenhinge::AdmissionState)
-namespace wrenhinge {
+template <> struct WireEnum<AdmissionState> : WireEnumUpTo<AdmissionState::Broken> {
+};
 
 /// The recorded answer of a keyed request, kept while small.
 struct KeptAnswer {
@@ -321,10 +320,8 @@
 };
 
 enum class LedgerState : std::uint8_t { None, Accepted, Exists, Mismatch };
-
-} // namespace wrenhinge
-MSGPACK_ADD_ENUM(wrenhinge::LedgerState)
-namespace wrenhinge {
+template <> struct WireEnum<LedgerState> : WireEnumUpTo<LedgerState::Mismatch> {
+};
 
 /// What a keyed request's ledger entry says.
 struct LedgerView {
@@ -438,10 +435,8 @@
 // --- Where gateways call upstreams themselves ------------------------------------------------------------------------
 
 enum class ReplicaState : std::uint8_t { Ready, Draining };
-
-} // namespace wrenhinge
-MSGPACK_ADD_ENUM(wrenhinge::ReplicaState)
-namespace wrenhinge {
+template <> struct WireEnum<ReplicaState> : WireEnumUpTo<ReplicaState::Draining> {
+};
 
 /// What a replica says of itself. A restarted replica comes under another id, also at the same address.
 struct Announcement {
--- a/src/message/MsgpackAdaptors.h
+++ b/src/message/MsgpackAdaptors.h
@@ -1,15 +1,33 @@
 /** \file
- * Teaches msgpack two types that it doesn't know: durations, and std::variant as `[index, value]`.
+ * Teaches msgpack what it doesn't know: durations, enumerations as their numbers, and std::variant as `[index, value]`.
  *
- * The index is the position among the alternatives, so new alternatives go to the end.
+ * The index is the position among the alternatives, so new alternatives go to the end. A number that an enumeration doesn't have, or
+ * a span of time that a clock can't take, makes the whole value unreadable: cast unseen, a code of a later release ended the process
+ * where its name was looked up.
  */
 #pragma once
 
 #include "base/Time.h"
 
 #include <msgpack.hpp>
+#include <type_traits>
 #include <variant>
 
+namespace wrenhinge {
+
+/// Specialised for each enumeration that travels. `isKnown(n)` tells whether it has the number.
+template <typename E> struct WireEnum;
+
+/// For one whose numbers go from 0 to that of `last`.
+template <auto last> struct WireEnumUpTo {
+    static bool isKnown(std::int64_t n) { return n >= 0 && n <= static_cast<std::int64_t>(last); }
+};
+
+/// Longer ones are no measurement of anything; instants reach some hundred times as far, so that sums of several still fit.
+inline constexpr Duration longestWireSpan = std::chrono::hours(24 * 365 * 100);
+
+} // namespace wrenhinge
+
 namespace msgpack {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
 {
@@ -18,6 +36,8 @@
             const msgpack::object& operator()(const msgpack::object& o, wrenhinge::Duration& d) const
             {
                 d = wrenhinge::Duration(o.as<std::int64_t>());
+                if (d > wrenhinge::longestWireSpan || d < -wrenhinge::longestWireSpan)
+                    throw type_error();
                 return o;
             }
         };
@@ -28,6 +48,23 @@
             }
         };
 
+        template <typename E> struct convert<E, std::enable_if_t<std::is_enum_v<E>>> {
+            const msgpack::object& operator()(const msgpack::object& o, E& value) const
+            {
+                auto n = o.as<std::int64_t>();
+                if (!wrenhinge::WireEnum<E>::isKnown(n))
+                    throw type_error();
+                value = static_cast<E>(n);
+                return o;
+            }
+        };
+        template <typename E> struct pack<E, std::enable_if_t<std::is_enum_v<E>>> {
+            template <typename Stream> packer<Stream>& operator()(packer<Stream>& p, const E& value) const
+            {
+                return p.pack(static_cast<std::int64_t>(value));
+            }
+        };
+
         /// Packs a std::variant as `[index, value]`.
         template <typename... Ts> struct pack<std::variant<Ts...>> {
             template <typename Stream> packer<Stream>& operator()(packer<Stream>& p, const std::variant<Ts...>& v) const
--- a/src/process/ControlDoor.h
+++ b/src/process/ControlDoor.h
@@ -10,6 +10,7 @@
 #include "base/SystemClock.h"
 #include "connection/HttpServer.h"
 #include "process/ControllerRole.h"
+#include "process/RegistryBounds.h"
 #include "version/RoutingDocument.h"
 
 #include <variant>
@@ -79,11 +80,15 @@
     {
         auto call = Dialect::readControlCall(request);
         if (!call)
-            return reply(*answer, call.error());
+            return refuse(*answer, request, call.error());
         if (const auto* announcement = std::get_if<Announcement>(&call.value())) {
+            if (auto full = m_bounds.refuses(m_role.registrar().registry(), *announcement, currentInstant()))
+                return refuse(*answer, request, *full);
             m_role.registrar().announce(*announcement);
             answer->reply(200, jsonHeaders(), Dialect::announcementReply());
         } else if (const auto* withdrawn = std::get_if<Withdrawn>(&call.value())) {
+            if (auto full = RegistryBounds::refuses(m_role.registrar().registry(), *withdrawn))
+                return refuse(*answer, request, *full);
             m_role.registrar().withdraw(withdrawn->id);
             answer->reply(200, jsonHeaders(), Dialect::announcementReply());
         } else if (auto* put = std::get_if<PutDocument>(&call.value())) {
@@ -157,6 +162,19 @@
         pending.answer->reply(200, jsonHeaders(), std::move(body));
     }
 
+    static Door doorOf(ResultCode code)
+    {
+        if (code == ResultCode::BadConfiguration)
+            return Door::Document;
+        return code == ResultCode::UnknownService ? Door::OtherCall : Door::Announcement;
+    }
+
+    void refuse(HttpAnswer& answer, const HttpRequest& request, const Error& error)
+    {
+        m_role.refusals().note(doorOf(error.code), request.method + " " + request.target, error.message);
+        reply(answer, error);
+    }
+
     static void reply(HttpAnswer& answer, const Error& error)
     {
         answer.reply(httpStatusOf(error.code), jsonHeaders(), Dialect::errorBody(error));
@@ -166,6 +184,7 @@
 
     ControllerRole& m_role;
     HttpServer m_server;
+    RegistryBounds m_bounds;
 };
 
 } // namespace wrenhinge
--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -75,7 +75,8 @@
               settings.zone, "", {} },
           { [this](const Hello& peer) { onPeerUp(peer); }, [this](PeerId peer) { post(controller::PeerDown { peer }); },
               [this](PeerId peer, Message&& message) { onMessage(peer, std::move(message)); },
-              [this] { return m_runtime.log().stampSend(); }, [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); } })
+              [this] { return m_runtime.log().stampSend(); }, [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); },
+              runtime.refusals().ofLinks() })
     , m_registrar(m_strand, m_hub, runtime.log())
     , m_pages(settings, runtime,
           { [this] {
@@ -125,7 +126,7 @@
 {
     std::vector<Announcement> remembered;
     if (isDynamic()) {
-        m_replicaMemory.emplace(m_settings.controller.data, m_runtime.log());
+        m_replicaMemory.emplace(m_settings.controller.data, m_runtime.log(), m_runtime.refusals());
         m_registrar.onChange = [this](std::vector<Announcement> list) { m_replicaMemory->save(std::move(list)); };
         remembered = m_replicaMemory->load();
     }
@@ -417,7 +418,7 @@
         + metricGauge("wrenhinge_links", static_cast<double>(m_hub.peers().size()))
         + metricGauge("wrenhinge_links_sent_bytes_total", static_cast<double>(m_hub.sentBytes()))
         + metricGauge("wrenhinge_links_queued_bytes", static_cast<double>(queued.all))
-        + metricGauge("wrenhinge_link_queued_bytes_most", static_cast<double>(queued.most));
+        + metricGauge("wrenhinge_link_queued_bytes_most", static_cast<double>(queued.most)) + m_runtime.refusals().metrics();
 }
 
 Json ControllerRole::status() const
--- a/src/process/ControllerRole.h
+++ b/src/process/ControllerRole.h
@@ -41,6 +41,7 @@
     void readDocument(Answered);
     /// For the replicas' announcements; on the strand of `strand()`.
     Registrar& registrar() { return m_registrar; }
+    Refusals& refusals() { return m_runtime.refusals(); }
     [[nodiscard]] const Strand& strand() const { return m_strand; }
     /// The term in which this controller leads, or zero, as of the last batch of events. Any thread.
     [[nodiscard]] std::uint64_t leadingTerm() const { return m_leadingTerm; }
--- a/src/process/EventLog.cpp
+++ b/src/process/EventLog.cpp
@@ -30,6 +30,7 @@
         case EventCode::LeaderLost:
         case EventCode::LogTailCut:
         case EventCode::VoteWithheld:
+        case EventCode::EntryRefused:
             return log4cplus::WARN_LOG_LEVEL;
         default:
             break;
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -89,7 +89,7 @@
                       m_runtime.log().write({ EventCode::PeerDown, {}, toString(peer) });
                   },
                   [this](PeerId, const Message& message) { onMessage(message); }, [this] { return m_runtime.log().stampSend(); },
-                  [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); } })
+                  [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); }, runtime.refusals().ofLinks() })
         , m_callers(m_strand,
               [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { onRequest(std::move(request), std::move(answer)); })
         , m_ready(m_strand, [this](HttpRequest&&, const std::shared_ptr<HttpAnswer>& answer) { onReadyCheck(*answer); })
@@ -266,9 +266,11 @@
 
     UpstreamCallHandlers prefillHandlers(const forward::Send& send, const std::string& caller)
     {
-        auto onEnd = [this, caller, id = send.id, attempt = send.attempt](const GatheredAnswer& answer) {
+        auto onEnd = [this, caller, id = send.id, attempt = send.attempt, replica = send.replica](const GatheredAnswer& answer) {
             auto own = readOwnAnswer(answer, caller);
             auto handle = own.isSuccess ? Dialect::readPrefill(answer.body) : std::nullopt;
+            if (own.isSuccess && !handle)
+                m_runtime.refusals().note(Door::Report, replica, "its answer to a prompt names no usable handle");
             if (handle)
                 post(forward::PromptRead { id, attempt, std::move(*handle) });
             else
@@ -284,8 +286,11 @@
             return;
         auto id = take.id;
         auto attempt = take.attempt;
-        auto onEnd = [this, caller = exchange->callerId, id, attempt](const GatheredAnswer& answer) {
-            auto place = readOwnAnswer(answer, caller).isSuccess ? Dialect::readPlace(answer.body) : std::nullopt;
+        auto onEnd = [this, caller = exchange->callerId, id, attempt, replica = take.replica](const GatheredAnswer& answer) {
+            bool isTaken = readOwnAnswer(answer, caller).isSuccess;
+            auto place = isTaken ? Dialect::readPlace(answer.body) : std::nullopt;
+            if (isTaken && !place)
+                m_runtime.refusals().note(Door::Report, replica, "its answer names no usable place");
             if (place)
                 post(forward::PlaceTaken { id, attempt, std::move(*place) });
             else
@@ -397,7 +402,7 @@
             m_metrics.setGauge("wrenhinge_log_lines_left_out", static_cast<double>(m_runtime.log().linesLeftOut()));
             m_metrics.setGauge("wrenhinge_document_version", static_cast<double>(logic.documentVersion()));
         });
-        return { 200, "text/plain; version=0.0.4", m_metrics.text() };
+        return { 200, "text/plain; version=0.0.4", m_metrics.text() + m_runtime.refusals().metrics() };
     }
 
     nlohmann::json status()
--- a/src/process/GatewayRole.cpp
+++ b/src/process/GatewayRole.cpp
@@ -40,7 +40,8 @@
               [this](PeerId peer, Message&& message) {
                   m_driver.post(gateway::FromPeer { peer, std::move(message) });
               },
-              [this] { return m_runtime.log().stampSend(); }, [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); } })
+              [this] { return m_runtime.log().stampSend(); }, [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); },
+              runtime.refusals().ofLinks() })
     , m_callers(runtime.io(), settings.callers, runtime.self(),
           { [this](const RequestId& id, CallerRequest caller) {
                m_driver.post(gateway::Submit { id, std::move(caller) });
@@ -137,7 +138,7 @@
         m_metrics.setGauge(
             "wrenhinge_in_progress", static_cast<double>(m_driver.inspect([](const GatewayLogic& l) { return l.inProgress(); })));
         m_metrics.setGauge("wrenhinge_caller_connections", static_cast<double>(m_callers.connections()));
-        return { 200, "text/plain; version=0.0.4", m_metrics.text() };
+        return { 200, "text/plain; version=0.0.4", m_metrics.text() + m_runtime.refusals().metrics() };
     }
     return AdminPages::notFound(request.path);
 }
--- a/src/process/ReplicaMemory.cpp
+++ b/src/process/ReplicaMemory.cpp
@@ -1,5 +1,6 @@
 #include "process/ReplicaMemory.h"
 
+#include "connection/MessageCheck.h"
 #include "message/Codec.h"
 #include "version/DiskFile.h"
 
@@ -13,9 +14,10 @@
 
 } // namespace
 
-ReplicaMemory::ReplicaMemory(std::string folder, EventLog& log)
+ReplicaMemory::ReplicaMemory(std::string folder, EventLog& log, Refusals& refusals)
     : m_folder(std::move(folder))
     , m_log(log)
+    , m_refusals(refusals)
     , m_thread([this] { run(); })
 {
 }
@@ -36,8 +38,8 @@
     if (!std::filesystem::exists(path))
         return {};
     auto bytes = disk::readFile(path);
-    auto payload = bytes ? disk::recordAt(bytes.value(), 0) : std::nullopt;
-    auto list = payload ? decodeValue<std::vector<Announcement>>(*payload) : std::nullopt;
+    auto refuse = [this, &path](const std::string& why) { m_refusals.note(Door::Memory, path, why); };
+    auto list = bytes ? read(bytes.value(), refuse) : std::nullopt;
     if (list)
         return std::move(*list);
     // The announcements will tell; the next save replaces it.
@@ -45,6 +47,25 @@
     return {};
 }
 
+/// The record's checksum tells damage, which leaves nothing that can be trusted. An entry that can't be used in a whole record was
+/// written by another release; the others are as good as before.
+std::optional<std::vector<Announcement>> ReplicaMemory::read(std::string_view bytes, const std::function<void(const std::string&)>& refused)
+{
+    auto payload = disk::recordAt(bytes, 0);
+    auto entries = payload ? decodeEach<Announcement>(*payload) : std::nullopt;
+    if (!entries)
+        return std::nullopt;
+    std::vector<Announcement> list;
+    for (auto& entry : *entries) {
+        auto fault = entry ? faultOf(*entry) : "an entry has fields of other types";
+        if (fault)
+            refused(*fault);
+        else
+            list.push_back(std::move(*entry));
+    }
+    return list;
+}
+
 void ReplicaMemory::save(std::vector<Announcement> list)
 {
     {
--- a/src/process/ReplicaMemory.h
+++ b/src/process/ReplicaMemory.h
@@ -13,8 +13,10 @@
 
 #include "message/Messages.h"
 #include "process/EventLog.h"
+#include "process/Refusals.h"
 
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -28,22 +30,27 @@
     static constexpr Duration gatherFor = 100ms;
 
     /// \param folder the controller's data folder, which exists.
-    ReplicaMemory(std::string folder, EventLog&);
+    ReplicaMemory(std::string folder, EventLog&, Refusals&);
     ~ReplicaMemory();
     ReplicaMemory(const ReplicaMemory&) = delete;
     ReplicaMemory& operator=(const ReplicaMemory&) = delete;
 
-    /// What was saved last, or nothing if that can't be read.
+    /// What was saved last, or nothing if that can't be read. An entry that can't be used is left out alone.
     [[nodiscard]] std::vector<Announcement> load() const;
     /// Returns at once; the newest list is written soon. Any thread.
     void save(std::vector<Announcement>);
 
+    /// The usable ones of the entries in a file's bytes; nothing if they are damaged. \param refused hears of each other one.
+    static std::optional<std::vector<Announcement>> read(
+        std::string_view bytes, const std::function<void(const std::string& why)>& refused);
+
 private:
     void run();
     void write(const std::vector<Announcement>&);
 
     std::string m_folder;
     EventLog& m_log;
+    Refusals& m_refusals;
     std::mutex m_mutex; ///< Guards what follows; nothing is locked under it.
     std::condition_variable m_changed;
     std::optional<std::vector<Announcement>> m_toWrite;
--- a/src/process/SidecarRole.cpp
+++ b/src/process/SidecarRole.cpp
@@ -36,7 +36,8 @@
               [this](PeerId peer, Message&& message) {
                   m_driver.post(sidecar::FromPeer { peer, std::move(message) });
               },
-              [this] { return m_runtime.log().stampSend(); }, [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); } })
+              [this] { return m_runtime.log().stampSend(); }, [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); },
+              runtime.refusals().ofLinks() })
     , m_driver(
           runtime.timers(), [this](sidecar::Effect& effect) { carry(effect); }, sidecar::Tick {}, profileOf(settings, runtime.self()))
     , m_pages(settings, runtime,
@@ -109,7 +110,7 @@
         auto text = "# TYPE wrenhinge_slots gauge\nwrenhinge_slots " + std::to_string(load.slots)
             + "\n# TYPE wrenhinge_slots_occupied gauge\nwrenhinge_slots_occupied " + std::to_string(load.occupied)
             + "\n# TYPE wrenhinge_queued gauge\nwrenhinge_queued " + std::to_string(load.queued) + "\n";
-        return { 200, "text/plain; version=0.0.4", text };
+        return { 200, "text/plain; version=0.0.4", text + m_runtime.refusals().metrics() };
     }
     return AdminPages::notFound(request.path);
 }
--- a/src/process/StageKeeper.h
+++ b/src/process/StageKeeper.h
@@ -92,8 +92,11 @@
 
     void carry(stages::ReadEngine& read)
     {
-        auto onEnd = [this, order = read.order](const GatheredAnswer& answer) {
-            post(stages::EngineRead { order, Dialect::engineState(answer) });
+        auto onEnd = [this, order = read.order, engine = read.engine.id](const GatheredAnswer& answer) {
+            auto state = Dialect::engineState(answer);
+            if (!state && answer.head.status == 200)
+                m_role.refusals().note(Door::Report, engine, "its report lacks the count of its orders, or whether one is carried out");
+            post(stages::EngineRead { order, state });
         };
         auto onFailure = [this, order = read.order](bool, const std::string&) { post(stages::EngineRead { order, std::nullopt }); };
         m_pool.call(read.engine.id, read.engine.address, Dialect::readEngine(read.engine), gather(onEnd, onFailure));
--- /dev/null
+++ b/test/correctness/DoorTest.cpp
@@ -0,0 +1,150 @@
+/** \file
+ * What comes from other writers: counted and told at a bounded rate, and never more of it kept than there is room for.
+ */
+#include "connection/DialBackoff.h"
+#include "connection/MessageCheck.h"
+#include "process/Refusals.h"
+#include "process/RegistryBounds.h"
+
+#include <cmath>
+#include <doctest/doctest.h>
+
+using namespace wrenhinge;
+
+namespace {
+
+Announcement replica(const std::string& id, const std::string& service = "app")
+{
+    Announcement announcement;
+    announcement.id = id;
+    announcement.service = service;
+    announcement.address = "10.0.0.1:80";
+    announcement.zone = "z";
+    announcement.slots = 1;
+    announcement.sequence = 1;
+    return announcement;
+}
+
+std::size_t linesOf(const EventLog& log)
+{
+    auto events = log.events("");
+    return static_cast<std::size_t>(
+        std::count_if(events.begin(), events.end(), [](const auto& event) { return event.code == EventCode::EntryRefused; }));
+}
+
+} // namespace
+
+TEST_CASE("a flood of entries that can't be used is counted whole and told in a few short lines")
+{
+    // Symptom: nothing else is left in the log. Sequence: a writer sends thousands of entries a second. Cause: a line for each.
+    LogSettings settings;
+    EventLog log(settings, "test");
+    Refusals refusals(log);
+    Instant now { 1h };
+    for (int i = 0; i < 10000; ++i)
+        refusals.note(Door::Announcement, "PUT /x", "`state` is " + std::string(100000, '\n'), now);
+    CHECK(refusals.count(Door::Announcement) == 10000);
+    CHECK(linesOf(log) == 20);
+    // Another door is heard all the same.
+    refusals.note(Door::Link, "10.0.0.2:7", "a message of no type", now);
+    CHECK(linesOf(log) == 21);
+    refusals.note(Door::Announcement, "PUT /x", "`state` is missing", now + 1s);
+    auto last = log.events("").back().text;
+    CHECK(last.find("9980 more since the last line") != std::string::npos);
+    for (const auto& event : log.events("")) {
+        CHECK(event.text.size() < 700);
+        CHECK(event.text.find('\n') == std::string::npos);
+    }
+    CHECK(refusals.metrics().find("wrenhinge_refused_announcements_total 10001\n") != std::string::npos);
+    CHECK(refusals.metrics().find("wrenhinge_refused_links_total 1\n") != std::string::npos);
+}
+
+TEST_CASE("a writer that draws a new id for each announcement doesn't fill the memory")
+{
+    // Symptom: controllers and gateways end, out of memory. Sequence: announcements of a service that nobody configured, each under
+    // an id of its own. Cause: each entry was kept for a minute, however many there were.
+    ReplicaRegistry registry;
+    RegistryBounds bounds;
+    Instant now { 1h };
+    auto announce = [&](const Announcement& announcement) {
+        if (bounds.refuses(registry, announcement, now))
+            return false;
+        registry.announce(announcement, Duration::zero(), now);
+        return true;
+    };
+    REQUIRE(announce(replica("good")));
+    for (int i = 0; i < 30000; ++i)
+        announce(replica("junk-" + std::to_string(i), "nobody"));
+    CHECK(registry.entries().size() == RegistryBounds::mostOfService + 1);
+    // One service can't take the room of the others, and a known replica is always heard.
+    CHECK(announce(replica("better")));
+    CHECK(!bounds.refuses(registry, replica("good"), now));
+    CHECK(!bounds.refuses(registry, replica("junk-0", "nobody"), now));
+    for (int i = 0; i < 30000; ++i)
+        announce(replica("more-" + std::to_string(i), "service-" + std::to_string(i)));
+    CHECK(registry.entries().size() == RegistryBounds::mostIds);
+    auto full = bounds.refuses(registry, replica("late"), now);
+    REQUIRE(full);
+    CHECK(httpStatusOf(full->code) == 503);
+    // Ids that end without having been known are remembered too.
+    CHECK(RegistryBounds::refuses(registry, Withdrawn { "unknown" }));
+    CHECK(!RegistryBounds::refuses(registry, Withdrawn { "good" }));
+    // There is room again once the junk is no longer renewed.
+    now += ReplicaRegistry::forgetAfter + 1s;
+    registry.forgetOld(now);
+    CHECK(announce(replica("late")));
+}
+
+TEST_CASE("an address whose links end at once is dialled less and less often")
+{
+    // Symptom: two processes of different releases link and part twenty times a second, for ever. Sequence: one refuses the other's
+    // first message and closes. Cause: a link that came up counted as a success, however short it was.
+    DialBackoff backoff;
+    CHECK(backoff.ceiling() == 50ms);
+    for (int i = 0; i < 10; ++i)
+        backoff.linkEnded(5ms);
+    CHECK(backoff.ceiling() == DialBackoff::longestRetry);
+    backoff.linkEnded(10s);
+    CHECK(backoff.ceiling() == 100ms);
+    for (int i = 0; i < 10; ++i)
+        backoff.connectFailed();
+    CHECK(backoff.ceiling() == DialBackoff::longestRetry);
+    backoff.linkedOtherwise();
+    CHECK(backoff.ceiling() == 50ms);
+}
+
+TEST_CASE("a message whose fields can't be used is told from a proper one, with the field")
+{
+    CHECK(!faultOf(Message(Announced { replica("a"), 1s })));
+    CHECK(!faultOf(Message(Withdrawn { "a" })));
+    CHECK(!faultOf(Message(ControllerRoster { { "10.0.0.1:7", "::1:8" } })));
+    Hello hello;
+    hello.id = PeerId(7);
+    hello.name = "10.0.0.1:7";
+    CHECK(!faultOf(Message(hello)));
+    auto names = [](const Message& message, const std::string& field) {
+        auto fault = faultOf(message);
+        return fault && fault->find("`" + field + "`") != std::string::npos;
+    };
+    hello.zone = "z\r\nx";
+    CHECK(names(hello, "zone"));
+    CHECK(names(Hello {}, "id"));
+    CHECK(names(Withdrawn { "" }, "id"));
+    CHECK(names(Withdrawn { std::string(1000, 'x') }, "id"));
+    CHECK(names(Announced { replica("a"), -5s }, "age"));
+    auto wrong = replica("a");
+    wrong.address = "10.0.0.1:80\r\nHost: x";
+    CHECK(names(Announced { wrong, {} }, "address"));
+    wrong = replica("a");
+    wrong.coldLeft = -1s;
+    CHECK(names(Announced { wrong, {} }, "coldLeft"));
+    wrong = replica("a");
+    wrong.sequence = ~0ULL;
+    CHECK(names(Announced { wrong, {} }, "sequence"));
+    CHECK(names(RegistryPulse { { { "a", -5s } }, 1 }, "age"));
+    CHECK(names(EngineLoadReport { { { "app", { NAN, 0, {} } } } }, "services"));
+    CHECK(names(EngineLoadReport { { { "app", { 0, INFINITY, {} } } } }, "services"));
+    CHECK(names(StageChange { "a", UpstreamKind::Decode, -1s }, "lasts"));
+    CHECK(names(ControllerRoster { { "nowhere" } }, "addresses"));
+    CHECK(readable("a\n\xff" + std::string(100, 'x'), 10) == "a??xxxx...");
+}
--- /dev/null
+++ b/test/correctness/LinkTest.cpp
@@ -0,0 +1,134 @@
+/** \file
+ * Links between processes over loopback: what a peer of another release says ends its own link, and no other.
+ */
+#include "connection/Endpoint.h"
+#include "connection/PeerHub.h"
+
+#include <condition_variable>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace wrenhinge;
+
+namespace {
+
+/// What a hub told its owner, to wait for.
+class Record {
+public:
+    void add(const std::string& what)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_list.push_back(what);
+        }
+        m_added.notify_all();
+    }
+    /// Waits until `what` has been told `n` times.
+    void await(const std::string& what, std::ptrdiff_t n = 1)
+    {
+        std::unique_lock lock(m_mutex);
+        m_added.wait(lock, [&] { return std::count(m_list.begin(), m_list.end(), what) >= n; });
+    }
+    std::ptrdiff_t count(const std::string& what)
+    {
+        std::lock_guard lock(m_mutex);
+        return std::count(m_list.begin(), m_list.end(), what);
+    }
+    std::string faults;
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_added;
+    std::vector<std::string> m_list;
+};
+
+Hello hello(std::uint64_t id, const std::string& name)
+{
+    Hello hello;
+    hello.id = PeerId(id);
+    hello.name = name;
+    return hello;
+}
+
+PeerHub::Handlers handlers(Record& record)
+{
+    return { [&record](const Hello& peer) { record.add("up " + peer.name); }, [&record](PeerId) { record.add("down"); },
+        [&record](PeerId, Message&&) { record.add("message"); }, [] { return HybridTime {}; }, [](HybridTime) {},
+        [&record](const std::string& from, const std::string& what) {
+            record.faults += from + " " + what + "\n";
+            record.add("fault");
+        } };
+}
+
+struct Net {
+    Net()
+        : guard(boost::asio::make_work_guard(io))
+        , thread([this] { io.run(); })
+    {
+    }
+    ~Net()
+    {
+        io.stop();
+        thread.join();
+    }
+    IoContext io { 1 };
+    boost::asio::executor_work_guard<IoContext::executor_type> guard;
+    std::thread thread;
+};
+
+/// Speaks to a hub as a peer of another release would: its first words are `first`.
+std::shared_ptr<PeerLink> speak(Net& net, Record& record, const std::string& address, const std::vector<Message>& words)
+{
+    Tcp::socket socket(boost::asio::make_strand(net.io));
+    socket.connect(parseEndpoint(address).value());
+    auto link = PeerLink::make(std::move(socket), PeerLink::Side::Dialled);
+    link->start({ [](HybridTime, Message&&) {}, [&record] { record.add("closed"); } });
+    for (const auto& word : words)
+        link->send(word, {});
+    return link;
+}
+
+} // namespace
+
+TEST_CASE("a peer that says what can't be used loses its link, is told of, and the others keep theirs")
+{
+    // Symptom: a process ends, or places work on a replica without an address. Sequence: a process of another release sends a type
+    // or a field that isn't known here. Cause: what could be decoded was taken.
+    Record told;
+    Record strangers;
+    Net net;
+    PeerHub hub(net.io, hello(1, "hub"), handlers(told));
+    auto address = hub.listen("127.0.0.1:0").value();
+    Record good;
+    PeerHub friendly(net.io, hello(2, "friend"), handlers(good));
+    friendly.dial(address);
+    told.await("up friend");
+
+    auto ofAnotherRelease = hello(3, "later");
+    ofAnotherRelease.role = static_cast<Role>(77);
+    std::vector<std::vector<Message>> wrongs { { ofAnotherRelease }, { Withdrawn { "a" } }, { hello(0, "nobody") },
+        { hello(4, std::string(100000, 'n')) }, { hello(5, "near"), Announced {} } };
+    std::ptrdiff_t n = 0;
+    for (const auto& words : wrongs) {
+        auto link = speak(net, strangers, address, words);
+        told.await("fault", ++n);
+        strangers.await("closed", n);
+    }
+    // Bytes that are no link at all.
+    {
+        boost::asio::io_context io;
+        Tcp::socket socket(io);
+        socket.connect(parseEndpoint(address).value());
+        boost::asio::write(socket, boost::asio::buffer(std::string(200, 'x')));
+        told.await("fault", ++n);
+    }
+    friendly.send(PeerId(1), Withdrawn { "b" });
+    told.await("message");
+    CHECK(good.count("down") == 0);
+    CHECK(told.count("message") == 1);
+    CHECK(told.faults.find("127.0.0.1:") != std::string::npos);
+    CHECK(told.faults.find("type 0") != std::string::npos);
+    CHECK(told.faults.find("`id`") != std::string::npos);
+    hub.stop();
+    friendly.stop();
+}
--- a/test/correctness/ProtocolTest.cpp
+++ b/test/correctness/ProtocolTest.cpp
@@ -62,6 +62,43 @@
     CHECK(!decode(std::string(10000, '\x91')));
 }
 
+TEST_CASE("a value that an enumeration doesn't have is refused, not carried on")
+{
+    // Symptom: a process ends, "a result code without a row in the code table". Sequence: a process of a later release answers with
+    // a code of its own. Cause: numbers were cast to enumerations unseen.
+    ProposeReply reply;
+    reply.code = static_cast<ResultCode>(9999);
+    CHECK(!decode(encode(reply)));
+    reply.code = ResultCode::ConfigConflict;
+    CHECK(decode(encode(reply)));
+    Hello hello;
+    hello.role = static_cast<Role>(3);
+    CHECK(!decode(encode(hello)));
+    Announced announced;
+    announced.announcement.state = static_cast<ReplicaState>(2);
+    CHECK(!decode(encode(announced)));
+    announced.announcement.state = ReplicaState::Draining;
+    announced.announcement.kind = static_cast<UpstreamKind>(200);
+    CHECK(!decode(encode(announced)));
+    Dispatch dispatch;
+    dispatch.priority = static_cast<Priority>(2);
+    CHECK(!decode(encode(dispatch)));
+    SealReply seal;
+    seal.state = static_cast<AdmissionState>(4);
+    CHECK(!decode(encode(seal)));
+}
+
+TEST_CASE("a span of time that would overflow the clock is refused")
+{
+    Announced announced;
+    for (auto age : { Duration::max(), Duration::min(), Duration(std::chrono::hours(24 * 365 * 200)) }) {
+        announced.age = age;
+        CHECK(!decode(encode(announced)));
+    }
+    announced.age = 24h;
+    CHECK(decode(encode(announced)));
+}
+
 TEST_CASE("tokens are counted alike however the stream is cut")
 {
     const std::string stream = "data: {\"a\":1}\n\ndata: {\"a\":2}\n\ndata: {\"x\":\"data: \"}\n\ndata: [DONE]\n\n";
--- a/test/correctness/ReplicaMemoryTest.cpp
+++ b/test/correctness/ReplicaMemoryTest.cpp
@@ -19,7 +19,10 @@
     for (const auto& id : ids) {
         Announcement announcement;
         announcement.id = id;
-        announcement.address = id + ":80";
+        announcement.service = "app";
+        announcement.address = "10.0.0." + std::to_string(list.size() + 1) + ":80";
+        announcement.zone = "z";
+        announcement.slots = 4;
         announcement.kind = UpstreamKind::Decode;
         announcement.sequence = 7;
         list.push_back(announcement);
@@ -44,13 +47,14 @@
     Folder folder;
     LogSettings settings;
     EventLog log(settings, "test");
-    ReplicaMemory memory(folder.path(), log);
+    Refusals refusals(log);
+    ReplicaMemory memory(folder.path(), log, refusals);
     CHECK(memory.load().empty());
     memory.save(replicas({ "a" }));
     memory.save(replicas({ "a", "b" }));
     auto list = written(memory, 2);
     CHECK(list[1].id == "b");
-    CHECK(list[1].address == "b:80");
+    CHECK(list[1].address == "10.0.0.2:80");
     CHECK(list[1].kind == UpstreamKind::Decode);
     CHECK(list[1].sequence == 7);
     memory.save(replicas({ "c" }));
@@ -62,7 +66,8 @@
     Folder folder;
     LogSettings settings;
     EventLog log(settings, "test");
-    ReplicaMemory memory(folder.path(), log);
+    Refusals refusals(log);
+    ReplicaMemory memory(folder.path(), log, refusals);
     memory.save(replicas({ "a", "b" }));
     written(memory, 2);
     std::filesystem::resize_file(folder.file("replicas"), std::filesystem::file_size(folder.file("replicas")) - 3);
@@ -73,12 +78,34 @@
     CHECK(written(memory, 1)[0].id == "d");
 }
 
+TEST_CASE("an entry on the disk that can't be used is dropped alone")
+{
+    // Symptom: after a restart no replica is known. Sequence: the list was written by a release that knows one more state, or holds
+    // one entry without an address. Cause: one entry that can't be used made the whole list unreadable, or was taken as it was.
+    Folder folder;
+    LogSettings settings;
+    EventLog log(settings, "test");
+    Refusals refusals(log);
+    ReplicaMemory memory(folder.path(), log, refusals);
+    auto list = replicas({ "a", "b", "c", "d", "e", "f" });
+    list[1].state = static_cast<ReplicaState>(7);
+    list[2].address = "nowhere";
+    list[3].slots = 0;
+    list[4].id = "e\r\nX: y";
+    memory.save(list);
+    auto kept = written(memory, 2);
+    CHECK(kept[0].id == "a");
+    CHECK(kept[1].id == "f");
+    CHECK(refusals.count(Door::Memory) >= 4);
+}
+
 TEST_CASE("a disk that refuses writes is noted and ends nothing")
 {
     Folder folder;
     LogSettings settings;
     EventLog log(settings, "test");
-    ReplicaMemory memory(folder.path() + "/missing", log);
+    Refusals refusals(log);
+    ReplicaMemory memory(folder.path() + "/missing", log, refusals);
     memory.save(replicas({ "a" }));
     while (log.events("").empty())
         std::this_thread::sleep_for(5ms);
