--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SANITIZED ?= build-sanitized
 JOBS ?= $(shell nproc)
 
-.PHONY: bench torture model bench-path bench-decide bench-state build demo check test sanitized format layers tidy install-packages clean
+.PHONY: bench torture fuzz model bench-path bench-decide bench-state build demo check test sanitized format layers tidy install-packages clean
 
 build: install-packages
 	@cmake -G Ninja -S . -B $(BUILD) >/dev/null
@@ -43,6 +43,11 @@
 torture: build
 	@$(BUILD)/test/torture-test 1 $(SEEDS)
 
+# Changed samples for all decoders, on two seeds of so many: make fuzz SEEDS=1000000
+fuzz: build
+	@$(BUILD)/test/fuzz-test 1 $(SEEDS)
+	@$(BUILD)/test/fuzz-test 2 $(SEEDS)
+
 # The specifications of the core protocols, whole and with one safeguard out at a time (spin).
 model: install-packages
 	@scripts/check-models
