--- a/test/correctness/DoorTest.cpp
+++ b/test/correctness/DoorTest.cpp
@@ -3,6 +3,7 @@
  */
 #include "connection/DialBackoff.h"
 #include "connection/MessageCheck.h"
+#include "connection/UpstreamPool.h"
 #include "process/Refusals.h"
 #include "process/RegistryBounds.h"
 
@@ -95,6 +96,19 @@
     CHECK(announce(replica("late")));
 }
 
+TEST_CASE("an answer without end to a call of our own is not kept without end")
+{
+    // Symptom: a gateway ends, out of memory. Sequence: a faulty replica answers the call for a place with bytes that don't stop. Cause:
+    // the answer was gathered whole, however long.
+    std::size_t kept = 0;
+    auto handlers = gather([&kept](const GatheredAnswer& answer) { kept = answer.body.size(); }, {});
+    for (int i = 0; i < 1000; ++i)
+        handlers.onBody(std::string(65536, 'x'));
+    handlers.onEnd();
+    CHECK(kept > (1u << 20));
+    CHECK(kept < (1u << 20) + 100000);
+}
+
 TEST_CASE("an address whose links end at once is dialled less and less often")
 {
     // Symptom: two processes of different releases link and part twenty times a second, for ever. Sequence: one refuses the other's
