--- a/test/correctness/DocumentTest.cpp
+++ b/test/correctness/DocumentTest.cpp
@@ -258,6 +258,69 @@
     CHECK(bench.follower.nextWake() < Instant::max());
 }
 
+TEST_CASE("a gateway whose answers take longer than it waits gets its document all the same")
+{
+    // Symptom: a gateway with a link full of other traffic never obeys a change, and adds to that traffic all the while. Sequence: an
+    // answer takes a little longer than the time after which another controller is asked. Cause: the transfer begins anew there with
+    // its first part, each time.
+    constexpr Duration latency = 1200ms;
+    constexpr std::size_t controllers = 3;
+    DocumentHistory history;
+    history.apply({ 1, noise(300000, 5), 0, {} });
+    std::vector<DocumentSource> sources(controllers);
+    struct Answer {
+        Instant at;
+        PeerId from;
+        DocumentPart part;
+    };
+    std::deque<Answer> underWay;
+    DocumentFollower follower(1);
+    Instant now = start;
+    bool isTaken = false;
+    std::size_t parts = 0;
+    auto step = [&](const document::Event& event) {
+        for (auto& effect : follower.step(event, now)) {
+            isTaken = isTaken || std::holds_alternative<document::Take>(effect);
+            const auto* ask = std::get_if<document::Ask>(&effect);
+            if (!ask)
+                continue;
+            auto part = sources[ask->to.value() - 1].answer(ask->request, history, now);
+            REQUIRE(part);
+            ++parts;
+            underWay.push_back({ now + latency, ask->to, std::move(*part) });
+        }
+    };
+    for (std::size_t i = 0; i < controllers; ++i)
+        step(document::FromPeer { Bench::peerOf(i), DocumentOffer { 1, true } });
+    while (!isTaken && now < start + 60s) {
+        if (!underWay.empty() && underWay.front().at <= follower.nextWake()) {
+            auto answer = std::move(underWay.front());
+            underWay.pop_front();
+            now = answer.at;
+            step(document::FromPeer { answer.from, std::move(answer.part) });
+        } else {
+            now = follower.nextWake();
+            step(document::Tick {});
+        }
+    }
+    CHECK(isTaken);
+    CHECK(parts < 15);
+}
+
+TEST_CASE("a gateway that missed hundreds of small changes does not copy the whole text for each of them")
+{
+    // Symptom: a gateway that was cut off for an hour of small changes stands still for seconds when it is back. Cause: each step copies
+    // and checks the whole text, and a part of the text's bytes held thousands of steps.
+    auto text = noise(100000, 7);
+    DocumentHistory history;
+    for (std::uint64_t version = 1; version <= 600; ++version) {
+        text[version * 100] = 'X';
+        history.apply(history.commandFor(version, text));
+    }
+    CHECK(history.stepsFrom(1).size() <= 64);
+    CHECK(history.stepsFrom(599).front().from == 599);
+}
+
 TEST_CASE("a link that ends within a transfer is made up for by another controller")
 {
     Bench bench(2);
