--- a/src/version/RaftSnapshot.cpp
+++ b/src/version/RaftSnapshot.cpp
@@ -42,6 +42,9 @@
     auto received = m_incoming.bytes.size();
     bool isWhole = chunk.done && chunk.offset + chunk.bytes.size() == received;
     if (isWhole && chunk.lastIndex > m_commit) {
+        // Void on the disk as well: what comes next would follow them there, and the log could not be read at the next start.
+        if (lastIndex() > chunk.lastIndex)
+            m_effects.push_back(raft::Persist { std::nullopt, chunk.lastIndex + 1, {} });
         m_snapshot = std::exchange(m_incoming, {});
         m_entries.clear();
         m_bytesKept = 0;
