--- a/src/version/Raft.cpp
+++ b/src/version/Raft.cpp
@@ -334,7 +334,6 @@
     last = progress.next + request.entries.size() - 1;
     // Sent optimistically; a refusal sets it back.
     progress.next = last + 1;
-    progress.sentAt = now;
     m_effects.push_back(raft::Send { to, std::move(request) });
 }
 
--- a/src/version/Raft.h
+++ b/src/version/Raft.h
@@ -154,9 +154,9 @@
         std::uint64_t match = 0;
         std::uint64_t round = 0;
         Instant heardAt;
-        Instant sentAt;
         DiskId disk;
         std::uint64_t snapshotOffset = 0;
+        Instant chunkSentAt; ///< When the chunk at that offset was sent last.
     };
     struct Read {
         std::uint64_t ticket = 0;
--- a/src/version/RaftSnapshot.cpp
+++ b/src/version/RaftSnapshot.cpp
@@ -20,9 +20,9 @@
     auto& progress = m_progress.at(to);
     // A heartbeat keeps the member's election timer quiet while it receives.
     m_effects.push_back(raft::Send { to, AppendRequest { m_hard.term, lastIndex(), termAt(lastIndex()), 0, m_round, {} } });
-    if (progress.snapshotOffset && now - progress.sentAt < chunkResend)
+    if (now - progress.chunkSentAt < chunkResend)
         return;
-    progress.sentAt = now;
+    progress.chunkSentAt = now;
     auto bytes = m_snapshot.bytes.substr(std::min(progress.snapshotOffset, m_snapshot.bytes.size()), snapshotChunkBytes);
     bool done = progress.snapshotOffset + bytes.size() >= m_snapshot.bytes.size();
     m_effects.push_back(raft::Send {
@@ -63,14 +63,19 @@
         return;
     auto& progress = it->second;
     progress.heardAt = now;
+    if (progress.next > m_snapshot.lastIndex)
+        return;
     if (reply.received >= m_snapshot.bytes.size()) {
         progress.match = std::max(progress.match, reply.lastIndex);
         progress.next = std::max(progress.next, reply.lastIndex + 1);
         progress.snapshotOffset = 0;
         return sendAppend(from, now);
     }
+    // The answer to a chunk that was sent twice. Followed by the next chunk too, it would have all that are left sent twice.
+    if (reply.received == progress.snapshotOffset && now - progress.chunkSentAt < chunkResend)
+        return;
     progress.snapshotOffset = reply.received;
-    progress.sentAt = now - chunkResend;
+    progress.chunkSentAt = {};
     sendSnapshot(from, now);
 }
 
@@ -82,8 +87,10 @@
     m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(m_applied - m_snapshot.lastIndex));
     m_snapshot = { m_applied, lastTerm, std::move(stateBytes) };
     m_bytesKept = 0;
-    for (auto& [member, progress] : m_progress)
+    for (auto& [member, progress] : m_progress) {
         progress.snapshotOffset = 0;
+        progress.chunkSentAt = {};
+    }
     Effects effects;
     effects.push_back(raft::SaveSnapshot { m_snapshot });
     effects.push_back(Note { EventCode::SnapshotTaken, {}, "up to index " + std::to_string(m_applied) });
