A member that refuses is sent what it lacks once, and not for each refusal

Change: only a refusal of a request that left after the last setting back counts; rounds tell, and a setting back begins one. Ruled out: to hold entries back until a probe is answered (a round trip more for each member that is behind).

--- a/src/version/Raft.cpp
+++ b/src/version/Raft.cpp
@@ -417,8 +417,10 @@
         progress.next = std::max(progress.next, progress.match + 1);
         if (progress.next <= lastIndex())
             sendAppend(from, now);
-    } else if (progress.next > m_snapshot.lastIndex) {
+    } else if (progress.next > m_snapshot.lastIndex && reply.round >= progress.setBackRound) {
         progress.next = std::max(progress.match + 1, std::min(progress.next, reply.match + 1));
+        // What was sent before is refused as well; each of these refusals would send all that the member lacks once more.
+        progress.setBackRound = ++m_round;
         sendAppend(from, now);
     }
     advanceCommit();
--- a/src/version/Raft.h
+++ b/src/version/Raft.h
@@ -153,6 +153,7 @@
         std::uint64_t next = 1;
         std::uint64_t match = 0;
         std::uint64_t round = 0;
+        std::uint64_t setBackRound = 0; ///< Requests before this round were sent before `next` was set back last.
         Instant heardAt;
         DiskId disk;
         std::uint64_t snapshotOffset = 0;
