A forwarded read is refused when the link to the leader ends

Cause: only forwarded proposals were refused then; a read waited for its whole patience, failed, and what asked for it stayed among the tickets. Change: reads are among what was forwarded; an answer that nobody waits for any more is passed by.

--- a/src/version/ControllerLogic.cpp
+++ b/src/version/ControllerLogic.cpp
@@ -95,7 +95,8 @@
     } else if (const auto* read = std::get_if<ReadIndex>(&event.message)) {
         onReadIndex(event.peer, *read, now);
     } else if (const auto* confirmed = std::get_if<ReadIndexReply>(&event.message)) {
-        onReadIndexReply(*confirmed);
+        if (m_forwarded.erase(confirmed->ticket))
+            onReadIndexReply(*confirmed);
     } else if (const auto* request = std::get_if<DocumentRequest>(&event.message)) {
         if (auto part = m_documentSource.answer(*request, m_state.document(), now))
             m_effects.push_back(controller::Send { event.peer, std::move(*part) });
@@ -216,10 +217,12 @@
 {
     if (m_raft.isLeader())
         return onReadIndex({}, { event.ticket }, now);
-    if (auto leader = leaderPeer(); leader != PeerId())
+    if (auto leader = leaderPeer(); leader != PeerId()) {
+        m_forwarded.insert(event.ticket);
         m_effects.push_back(controller::Send { leader, ReadIndex { event.ticket } });
-    else
+    } else {
         onReadIndexReply({ event.ticket, false, 0 });
+    }
 }
 
 void ControllerLogic::onReadIndex(PeerId peer, const ReadIndex& read, Instant now)
--- a/src/version/ControllerLogic.h
+++ b/src/version/ControllerLogic.h
@@ -146,7 +146,7 @@
     std::map<std::string, PeerId> m_byName;
     std::map<PeerId, Watcher> m_watchers;
     std::map<std::uint64_t, Waiting> m_waiting; ///< By log index.
-    std::set<std::uint64_t> m_forwarded; ///< Tickets of this process's proposals that the leader was asked to commit.
+    std::set<std::uint64_t> m_forwarded; ///< Tickets of this process's proposals and reads that the leader was asked for.
     std::map<std::uint64_t, std::vector<Reader>> m_readers; ///< By the read's ticket at the log.
     std::vector<PendingRead> m_pendingReads;
     DocumentSource m_documentSource;
