A gateway whose answers take longer than a second gets its document

Change: an answer that comes after its controller was given up doubles the limit, up to 8 s, until a transfer is whole.

--- a/src/version/DocumentFollower.cpp
+++ b/src/version/DocumentFollower.cpp
@@ -16,7 +16,7 @@
     return std::exchange(m_effects, {});
 }
 
-Instant DocumentFollower::nextWake() const { return m_transfer ? m_transfer->askedAt + answerLimit : Instant::max(); }
+Instant DocumentFollower::nextWake() const { return m_transfer ? m_transfer->askedAt + m_patience : Instant::max(); }
 
 void DocumentFollower::on(const FromPeer& event, Instant now)
 {
@@ -35,7 +35,7 @@
 
 void DocumentFollower::on(const Tick&, Instant now)
 {
-    if (!m_transfer || now < m_transfer->askedAt + answerLimit)
+    if (!m_transfer || now < m_transfer->askedAt + m_patience)
         return;
     giveUp();
 }
@@ -52,9 +52,11 @@
 
 void DocumentFollower::onPart(PeerId peer, const DocumentPart& part, Instant now)
 {
-    if (!m_transfer || m_transfer->from != peer || part.base != m_transfer->request.held)
+    if (!m_transfer)
         return;
     auto& transfer = *m_transfer;
+    if (transfer.from != peer || part.base != transfer.request.held)
+        return cameLate();
     if (part.bytes.empty() || part.total > longestTransfer)
         return giveUp();
     // The controller may begin with something newer than what was asked for.
@@ -64,7 +66,7 @@
     }
     // An answer that had been given up on may still come beside the one to the second request.
     if (part.version != transfer.request.version || part.offset != transfer.bytes.size())
-        return;
+        return cameLate();
     transfer.bytes += part.bytes;
     if (transfer.bytes.size() >= part.total)
         return finish(now);
@@ -76,6 +78,7 @@
 {
     auto transfer = std::move(*m_transfer);
     m_transfer.reset();
+    m_patience = answerLimit;
     auto steps = decodeValue<std::vector<DocumentStep>>(transfer.bytes);
     if (!steps || !apply(*steps)) {
         // Never seen; without this a text that differs from the controllers' would stay until a restart.
@@ -137,6 +140,9 @@
     m_transfer.reset();
 }
 
+/// Whoever had been asked was not gone: links are slower than was waited for.
+void DocumentFollower::cameLate() { m_patience = std::min(m_patience * 2, longestPatience); }
+
 void DocumentFollower::ask(PeerId to, DocumentRequest request, Instant now)
 {
     m_transfer->askedAt = now;
--- a/src/version/DocumentFollower.h
+++ b/src/version/DocumentFollower.h
@@ -54,6 +54,9 @@
     /// A controller that does not answer for this long may be gone; another one is asked. Parts of 64 KB take 52 ms on a link of 10 Mbit/s;
     /// 29 gateways that ask one controller at once, on 100 Mbit/s, wait for 150 ms.
     static constexpr Duration answerLimit = 1s;
+    /// Each answer that comes after its controller was given up doubles the limit, up to this, until a transfer is whole. With one limit
+    /// a gateway whose answers take longer begins anew for ever, and what it asks for in vain fills its link.
+    static constexpr Duration longestPatience = 8s;
     /// A longer document is none.
     static constexpr std::size_t longestTransfer = 64u << 20;
 
@@ -83,6 +86,7 @@
     void onPart(PeerId, const DocumentPart&, Instant);
     void askAnyone(Instant);
     void giveUp();
+    void cameLate();
     void ask(PeerId, DocumentRequest, Instant);
     void finish(Instant);
     bool apply(const std::vector<DocumentStep>&);
@@ -92,6 +96,7 @@
     std::uint64_t m_newest = 0; ///< The highest version that was offered as the newest.
     std::map<PeerId, std::uint64_t> m_offers;
     std::optional<Transfer> m_transfer;
+    Duration m_patience = answerLimit;
     PeerId m_avoided; ///< It did not answer, or not what was asked; asked again only if there is no other.
     bool m_needsWhole = false; ///< Steps did not fit what is held here.
     std::mt19937_64 m_random;
