A proposal that comes while the disk is read again is answered

Cause: ControllerRole::reopenStorage dropped the events that had come and kept their tickets for ever; at the door a ticket holds the call with its whole text, so that each attempt of an operator at a controller whose disk is full cost a document of memory. Change: their tickets are refused when the queue is emptied.

--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -242,6 +242,8 @@
                 return false;
             m_queue.clear();
         }
+        // What waited in the queue has waiting callers, and a proposal's hold its whole text.
+        refuseTickets();
         auto recovered = m_storage.open(m_settings.controller.data, DiskId(randomIdentity()));
         if (isFirst || recovered)
             m_runtime.log().write({ EventCode::StorageReopened, {}, recovered ? "read again" : recovered.error().message });
