--- a/src/version/Raft.h
+++ b/src/version/Raft.h
@@ -225,6 +225,7 @@
     std::uint64_t m_lastTicket = 0;
     std::uint64_t m_round = 0;
     raft::Snapshot m_incoming;
+    std::uint64_t m_incomingTerm = 0; ///< Of the leader that sends it.
     Instant m_electionDue;
     Instant m_leaderHeardAt;
     bool m_isFirstElection = true; ///< Since its start this member has neither heard a leader nor stood for election.
--- a/src/version/RaftSnapshot.cpp
+++ b/src/version/RaftSnapshot.cpp
@@ -34,7 +34,9 @@
     if (chunk.term < m_hard.term)
         return;
     followLeader(from, chunk.term, now);
-    bool isNew = m_incoming.lastIndex != chunk.lastIndex || m_incoming.lastTerm != chunk.lastTerm;
+    // Another leader's snapshot up to the same entry says the same, but not in the same bytes.
+    bool isOtherLeader = std::exchange(m_incomingTerm, chunk.term) != chunk.term;
+    bool isNew = isOtherLeader || m_incoming.lastIndex != chunk.lastIndex || m_incoming.lastTerm != chunk.lastTerm;
     if (isNew)
         m_incoming = { chunk.lastIndex, chunk.lastTerm, "" };
     if (chunk.offset == m_incoming.bytes.size())
