A document that waits at the leader waits as a whole

Cause: a forwarded document is a change of the version in force; those that waited for another one were refused when their turn came, all at once, and came back 60 ms later, at most four times within the 850 ms that a caller waits; the platform sends up to eight at once. Change: the leader makes a change that fits what it holds a whole text before it waits, and a change of what is in force when its turn comes. At most 16 wait, as before. Ruled out: to send the whole text at the first try (the link from a controller far away carries it for each order).

--- a/src/version/ControllerLogic.cpp
+++ b/src/version/ControllerLogic.cpp
@@ -147,6 +147,10 @@
     if (m_documentQueue.size() >= mostQueuedDocuments)
         return reply(waiting, notLeader());
     if (m_raft.hasUnappliedDocument() || !m_documentQueue.empty()) {
+        // By the time its turn comes the version that it is a change of is a former one: refused then, all that wait would be sent again.
+        auto text = command.base && command.base == document.version() ? applyChange(document.text(), command.change) : std::nullopt;
+        if (text)
+            command = { command.version, std::move(*text), 0, {} };
         m_documentQueue.push_back({ std::move(command), waiting });
         return;
     }
