--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -255,6 +255,8 @@
                 return false;
             m_queue.clear();
         }
+        // What waited in the queue has waiting callers, and a proposal's hold its whole text.
+        refuseTickets();
         auto recovered = recoverLog();
         if (isFirst || recovered)
             m_runtime.log().write({ EventCode::StorageReopened, {}, recovered ? "read again" : recovered.error().message });
--- a/src/version/ControllerLogic.cpp
+++ b/src/version/ControllerLogic.cpp
@@ -95,7 +95,8 @@
     } else if (const auto* read = std::get_if<ReadIndex>(&event.message)) {
         onReadIndex(event.peer, *read, now);
     } else if (const auto* confirmed = std::get_if<ReadIndexReply>(&event.message)) {
-        onReadIndexReply(*confirmed);
+        if (m_forwarded.erase(confirmed->ticket))
+            onReadIndexReply(*confirmed);
     } else if (const auto* request = std::get_if<DocumentRequest>(&event.message)) {
         if (auto part = m_documentSource.answer(*request, m_state.document(), now))
             m_effects.push_back(controller::Send { event.peer, std::move(*part) });
@@ -146,6 +147,10 @@
     if (m_documentQueue.size() >= mostQueuedDocuments)
         return reply(waiting, notLeader());
     if (m_raft.hasUnappliedDocument() || !m_documentQueue.empty()) {
+        // By the time its turn comes the version that it is a change of is a former one: refused then, all that wait would be sent again.
+        auto text = command.base && command.base == document.version() ? applyChange(document.text(), command.change) : std::nullopt;
+        if (text)
+            command = { command.version, std::move(*text), 0, {} };
         m_documentQueue.push_back({ std::move(command), waiting });
         return;
     }
@@ -216,10 +221,12 @@
 {
     if (m_raft.isLeader())
         return onReadIndex({}, { event.ticket }, now);
-    if (auto leader = leaderPeer(); leader != PeerId())
+    if (auto leader = leaderPeer(); leader != PeerId()) {
+        m_forwarded.insert(event.ticket);
         m_effects.push_back(controller::Send { leader, ReadIndex { event.ticket } });
-    else
+    } else {
         onReadIndexReply({ event.ticket, false, 0 });
+    }
 }
 
 void ControllerLogic::onReadIndex(PeerId peer, const ReadIndex& read, Instant now)
--- a/src/version/Raft.h
+++ b/src/version/Raft.h
@@ -158,12 +158,13 @@
         std::uint64_t next = 1;
         std::uint64_t match = 0;
         std::uint64_t round = 0;
+        std::uint64_t setBackRound = 0; ///< Requests before this round were sent before `next` was set back last.
         Instant heardAt;
-        Instant sentAt;
         DiskId disk;
         bool isVoter = false; ///< It knows that this disk is registered.
         bool isDiskless = false;
         std::uint64_t snapshotOffset = 0;
+        Instant chunkSentAt; ///< When the chunk at that offset was sent last.
     };
     struct Read {
         std::uint64_t ticket = 0;
@@ -238,6 +239,7 @@
     std::uint64_t m_lastTicket = 0;
     std::uint64_t m_round = 0;
     raft::Snapshot m_incoming;
+    std::uint64_t m_incomingTerm = 0; ///< Of the leader that sends it.
     Instant m_electionDue;
     Instant m_leaderHeardAt;
     bool m_isFirstElection = true; ///< Since its start this member has neither heard a leader nor stood for election.
--- a/src/version/RaftMembers.cpp
+++ b/src/version/RaftMembers.cpp
@@ -82,9 +82,8 @@
 
 bool Raft::isCurrent(Instant now) const
 {
-    if (isLeader())
-        return termAt(m_commit) == m_hard.term;
-    return hasContact(now) && m_leaderCommit && m_commit >= m_leaderCommit;
+    // Until an entry of its term is committed a leader may not know the newest commit, and nor do those that hear it.
+    return hasContact(now) && termAt(m_commit) == m_hard.term && m_commit >= m_leaderCommit;
 }
 
 /// One change at a time, and only after an entry of this term is committed: two changes that overlap could have majorities
--- a/src/version/RaftSnapshot.cpp
+++ b/src/version/RaftSnapshot.cpp
@@ -20,9 +20,9 @@
     auto& progress = m_progress.at(to);
     // A heartbeat keeps the member's election timer quiet while it receives.
     m_effects.push_back(raft::Send { to, AppendRequest { m_hard.term, lastIndex(), termAt(lastIndex()), 0, m_round, {} } });
-    if (progress.snapshotOffset && now - progress.sentAt < chunkResend)
+    if (now - progress.chunkSentAt < chunkResend)
         return;
-    progress.sentAt = now;
+    progress.chunkSentAt = now;
     auto bytes = m_snapshot.bytes.substr(std::min(progress.snapshotOffset, m_snapshot.bytes.size()), snapshotChunkBytes);
     bool done = progress.snapshotOffset + bytes.size() >= m_snapshot.bytes.size();
     m_effects.push_back(raft::Send {
@@ -34,7 +34,9 @@
     if (chunk.term < m_hard.term)
         return;
     followLeader(from, chunk.term, now);
-    bool isNew = m_incoming.lastIndex != chunk.lastIndex || m_incoming.lastTerm != chunk.lastTerm;
+    // Another leader's snapshot up to the same entry says the same, but not in the same bytes.
+    bool isOtherLeader = std::exchange(m_incomingTerm, chunk.term) != chunk.term;
+    bool isNew = isOtherLeader || m_incoming.lastIndex != chunk.lastIndex || m_incoming.lastTerm != chunk.lastTerm;
     if (isNew)
         m_incoming = { chunk.lastIndex, chunk.lastTerm, "" };
     if (chunk.offset == m_incoming.bytes.size())
@@ -42,6 +44,9 @@
     auto received = m_incoming.bytes.size();
     bool isWhole = chunk.done && chunk.offset + chunk.bytes.size() == received;
     if (isWhole && chunk.lastIndex > m_commit) {
+        // Void on the disk as well: what comes next would follow them there, and the log could not be read at the next start.
+        if (lastIndex() > chunk.lastIndex)
+            m_effects.push_back(raft::Persist { std::nullopt, chunk.lastIndex + 1, {} });
         m_snapshot = std::exchange(m_incoming, {});
         m_entries.clear();
         m_bytesKept = 0;
@@ -60,14 +65,19 @@
         return;
     auto& progress = it->second;
     progress.heardAt = now;
+    if (progress.next > m_snapshot.lastIndex)
+        return;
     if (reply.received >= m_snapshot.bytes.size()) {
         progress.match = std::max(progress.match, reply.lastIndex);
         progress.next = std::max(progress.next, reply.lastIndex + 1);
         progress.snapshotOffset = 0;
         return sendAppend(from, now);
     }
+    // The answer to a chunk that was sent twice. Followed by the next chunk too, it would have all that are left sent twice.
+    if (reply.received == progress.snapshotOffset && now - progress.chunkSentAt < chunkResend)
+        return;
     progress.snapshotOffset = reply.received;
-    progress.sentAt = now - chunkResend;
+    progress.chunkSentAt = {};
     sendSnapshot(from, now);
 }
 
@@ -79,8 +89,10 @@
     m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(m_applied - m_snapshot.lastIndex));
     m_snapshot = { m_applied, lastTerm, std::move(stateBytes) };
     m_bytesKept = 0;
-    for (auto& [member, progress] : m_progress)
+    for (auto& [member, progress] : m_progress) {
         progress.snapshotOffset = 0;
+        progress.chunkSentAt = {};
+    }
     Effects effects;
     effects.push_back(raft::SaveSnapshot { m_snapshot });
     effects.push_back(Note { EventCode::SnapshotTaken, {}, "up to index " + std::to_string(m_applied) });
--- a/test/correctness/RunTest.cpp
+++ b/test/correctness/RunTest.cpp
@@ -432,7 +432,8 @@
     Folder folder;
     LogSettings settings;
     EventLog log(settings, "test");
-    ReplicaMemory memory(folder.path(), log);
+    Refusals refusals(log);
+    ReplicaMemory memory(folder.path(), log, refusals);
     memory.save({ announcement(first, 40) });
     std::vector<Announcement> remembered;
     while ((remembered = memory.load()).empty())
@@ -448,13 +449,14 @@
     Folder folder;
     LogSettings settings;
     EventLog log(settings, "test");
+    Refusals refusals(log);
     auto former = announcement(unsaid, 40);
     // As such a release packs an announcement: all fields but the last.
     msgpack::type::tuple<std::string, std::string, std::string, std::string, std::string, std::uint32_t, ReplicaState, UpstreamKind,
         Duration, std::uint64_t>
         fields { former.id, former.service, former.address, former.zone, "", 4, former.state, former.kind, Duration(0), 40 };
     REQUIRE(disk::replaceFile(folder.path(), "replicas", disk::sealRecord(encodeValue(std::vector { fields }))));
-    auto remembered = ReplicaMemory(folder.path(), log).load();
+    auto remembered = ReplicaMemory(folder.path(), log, refusals).load();
     REQUIRE(remembered.size() == 1);
     CHECK(remembered.front().sequence == 40);
     CHECK(remembered.front().start == unsaid);
