--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -32,8 +32,8 @@
     constexpr double placePerExpected = 1.3;
     /// Without an estimate of its caller an answer is taken to be this part of what it may be.
     constexpr std::uint32_t usualPartOfOutput = 2;
-    /// A caller with less patience than others on its route by this much was refused elsewhere and has come back: the way there and
-    /// back alone takes some milliseconds, and what callers bring at first differs by none.
+    /// A caller with less patience than others on its route by this much was refused elsewhere and has come back: that took 50 ms at the
+    /// least, and what callers bring at first does not differ.
     constexpr Duration spentByReturn = 5ms;
     /// Another gateway can take the request now, so its caller need not wait; not quite zero, which some take for nothing said.
     constexpr Duration returnElsewhere = 10ms;
@@ -332,7 +332,7 @@
 // --- The end of this process ------------------------------------------------------------------------------------
 
 /// Whether the stream might outlive this process. A first attempt is refused if one in a hundred like it would be cut: it loses some
-/// 20 ms on its way to another gateway, a cut one all of its seconds. A caller that has come back was refused by another gateway,
+/// 100 ms on its way to another gateway, a cut one all of its seconds. A caller that has come back was refused by another gateway,
 /// and may have no further attempt: it is refused only if it would more likely be cut than not. Where nothing is known yet, each
 /// is dealt with as if the worst were.
 bool ForwardLogic::mightBeCut(const Flow& flow) const
--- a/src/request/StreamForecast.h
+++ b/src/request/StreamForecast.h
@@ -3,7 +3,7 @@
  *
  * A gateway that is told to stop has some seconds left, and a stream that it takes then and that outlives them is cut: its caller
  * has waited for seconds and, where the route does not let streams go on, has nothing. Refused at once, the caller is at another
- * gateway within some 20 ms, a fiftieth of what it allows for the first event. So a stream is refused if it might be cut, not only
+ * gateway within 50 to 115 ms, an eighth of what it allows for the first event at most. So a stream is refused if it might be cut, not only
  * if it probably is: the forecast is the longest that streams of its expected length have taken, not the mean.
  *
  * A stream takes its time until the first event, and then a time for each token that its caller expects. The second varies by a
