--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -294,7 +294,7 @@
 struct ReplaceDiskCommand {
     std::string name;
     DiskId disk;
-    std::string zone; ///< Where the controller is, so that a leader that never met it can spread the members; empty: not known.
+    std::string zone {}; ///< Where the controller is, so that a leader that never met it can spread the members; empty: not known.
     MSGPACK_DEFINE(name, disk, zone)
 };
 
@@ -304,7 +304,7 @@
     std::uint64_t version = 0;
     std::string text; ///< Empty if there is a base.
     std::uint64_t base = 0; ///< The version that `change` applies to; zero: none.
-    TextChange change;
+    TextChange change {};
     MSGPACK_DEFINE(version, text, base, change)
 
     /// Bytes that it takes, about.
