--- a/src/process/ControlDoor.h
+++ b/src/process/ControlDoor.h
@@ -53,8 +53,8 @@
     /// Time added for each byte of a document: callers wait longer for a large one, and its replication takes longer.
     static constexpr double microsPerByte = 5;
     static constexpr Duration tryAgainAfter = 60ms;
-    /// A controller that lags behind the leader makes its change against an older version, which the leader can't use; it has caught
-    /// up by the next heartbeat, after 120 ms at most, unless changes come faster than that. Then the whole text is sent.
+    /// A controller that lags behind the leader makes its change against a version that the leader has replaced. It has caught up by the
+    /// next heartbeat, after 120 ms at most, unless changes come faster than that; then the whole text is sent.
     static constexpr int triesAsChange = 3;
     /// A replica's announcement of a kept connection comes every second or so.
     static constexpr Duration idleTime = 10s;
--- a/src/process/LogicDriver.h
+++ b/src/process/LogicDriver.h
@@ -4,6 +4,8 @@
  * Lock order of a process: the logic's lock first; under it the effects take, one at a time and never nested, the locks of
  * the caller table, the peer table, the timer and the event log. Carrying effects out only enqueues work on a strand, so
  * the lock is held for microseconds, and two events' effects can't overtake each other on the way to the same connection.
+ * One driver stands before another: a gateway's DocumentFollower hands a document on to its ForwardLogic, under its own lock, after
+ * decoding it there for milliseconds. Nothing goes the other way, and nobody else waits for that lock but the links' news of documents.
  */
 #pragma once
 
--- a/src/version/ControllerLogic.h
+++ b/src/version/ControllerLogic.h
@@ -27,7 +27,7 @@
     struct LocalPropose {
         std::uint64_t ticket = 0;
         Command command;
-        /// Another controller that leads gets the whole text: it had no use for a change against the version here.
+        /// Another controller that leads gets the whole text, not a change of the version here, which it had overtaken several times.
         bool isWhole = false;
     };
     /// A linearizable read from this process itself. The reply is a LocalReply; its code is Ok once the state held here is new
--- a/src/version/DocumentFollower.h
+++ b/src/version/DocumentFollower.h
@@ -4,6 +4,11 @@
  * One request is under way at a time, so a slow link carries one part and not each version that came meanwhile; what was overtaken
  * before it was asked for is never sent. It never goes back: a controller that was cut off may offer an older version.
  *
+ * What is held is *current* if it is as new as the newest version that a controller, hearing its leader, has offered since this process
+ * started. Example: after a start a controller that is cut off offers version 4, not as the newest, and it is taken; another
+ * offers 6 as the newest: 4 stays unconfirmed, 6 is asked for, and is current when it is here. Had 4 been offered as the newest
+ * before 6 was accepted, it would have been current, and would stay so while 6 is on its way.
+ *
  * A state machine without I/O: `step(event, now)` returns effects.
  */
 #pragma once
--- a/src/version/DocumentSource.cpp
+++ b/src/version/DocumentSource.cpp
@@ -1,6 +1,7 @@
 #include "version/DocumentSource.h"
 
 #include "message/Codec.h"
+#include "version/DocumentFollower.h"
 
 #include <algorithm>
 
@@ -8,9 +9,9 @@
 
 namespace {
 
-    /// A transfer under way is kept though newer versions come, or a slow link would begin anew with each of them and never end. The
-    /// longest pause between two parts of one: a gateway asks again after a second.
-    constexpr Duration keepUnused = 2500ms;
+    /// A transfer under way is kept though newer versions come, or a slow link would begin anew with each of them and never end. A
+    /// gateway may wait for an answer for its longest patience before it asks again.
+    constexpr Duration keepUnused = DocumentFollower::longestPatience + 1s;
     /// Gateways that hold different versions ask for different transfers; the one unused for longest gives way.
     constexpr std::size_t mostTransfers = 4;
 
--- a/src/version/Raft.h
+++ b/src/version/Raft.h
@@ -126,7 +126,8 @@
     void meet(const std::string& name, const std::string& zone, Instant now);
     /// The link to a controller is gone; a learner is forgotten until it comes back.
     void lose(const std::string& name);
-    /// Whether this state is the newest that a majority has accepted, as far as a member that hears its leader can know.
+    /// Whether this state is the newest that a majority has accepted, as far as a member that hears its leader can know. Never before an
+    /// entry of the leader's own term is committed: until then the leader itself may not know what was.
     [[nodiscard]] bool isCurrent(Instant now) const;
     [[nodiscard]] const std::vector<std::string>& members() const { return m_members; }
     /// Restores the members with the state that a snapshot holds. \param zones where controllers are, as far as the log knows.
--- a/src/version/RaftSnapshot.cpp
+++ b/src/version/RaftSnapshot.cpp
@@ -55,6 +55,8 @@
         // Void on the disk as well: what comes next would follow them there, and the log could not be read at the next start.
         if (lastIndex() > chunk.lastIndex)
             m_effects.push_back(raft::Persist { std::nullopt, chunk.lastIndex + 1, {} });
+        // A leader sends a snapshot only to a member whose log does not reach the snapshot's end, or contradicts its own there: nothing
+        // that was committed lies beyond it.
         m_snapshot = std::exchange(m_incoming, {});
         m_entries.clear();
         m_bytesKept = 0;
--- a/test/failure/ProcessTest.cpp
+++ b/test/failure/ProcessTest.cpp
@@ -412,6 +412,8 @@
         HttpClient(cluster.callers(1))
             .raw("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
+    // The last of them may not have been accepted yet when the engines are idle: nothing is held before it, too.
+    Cluster::eventually("all have gone", [&] { return cluster.adminJson("gateway-1", "/status")["callers"] == 0; });
     expectNothingHeld(cluster);
     CHECK(cluster.adminJson("gateway-1", "/status")["callers"] == 0);
 }
