--- a/platform/JsonFields.cpp
+++ b/src/connection/JsonFields.cpp
@@ -1,13 +1,11 @@
-#include "JsonFields.h"
+#include "connection/JsonFields.h"
 
 #include "connection/MessageCheck.h"
 
 #include <cmath>
 #include <set>
 
-namespace platform {
-
-using wrenhinge::readable;
+namespace wrenhinge {
 
 namespace {
 
@@ -187,4 +185,4 @@
     return value;
 }
 
-} // namespace platform
+} // namespace wrenhinge
--- a/platform/JsonFields.h
+++ b/src/connection/JsonFields.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace platform {
+namespace wrenhinge {
 
 using Json = nlohmann::json;
 
@@ -70,4 +70,4 @@
     std::string m_owner;
 };
 
-} // namespace platform
+} // namespace wrenhinge
