The last look before a limit strikes, and a document's way into the log, each stand once

Cause: HttpServer and CallerServer each had the same two waits and constant; the queue of documents was taken away for a moment so that one of it could be proposed by the door's way; two functions of DocumentFollower had a parameter that nothing read. Change: Timer::limit; ControllerLogic::appendDocument; the parameters are gone. No behaviour changes.

--- a/src/connection/CallerServer.cpp
+++ b/src/connection/CallerServer.cpp
@@ -17,9 +17,6 @@
     /// Bytes of pipelined requests that are taken in while one is in progress.
     constexpr std::size_t pipelineLimit = 65536;
     constexpr std::size_t watchBytes = 4096;
-    /// After a time limit has ended, what has come by then is read for this long before it strikes. It needs one turn of the loop, and
-    /// was late only because this process stood still.
-    constexpr Duration lastLook = 10ms;
 
     std::string statusLine(int status)
     {
@@ -277,7 +274,7 @@
 
     void limitTime(Duration limit)
     {
-        m_timer.start(limit, [self = shared_from_this()] { self->m_timer.start(lastLook, [self] { self->onTimeout(); }); });
+        m_timer.limit(limit, [self = shared_from_this()] { self->onTimeout(); });
     }
 
     void onTimeout()
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -21,9 +21,6 @@
     constexpr Duration lingerTime = 1s;
     constexpr int callerSilenceMs = 10000;
     constexpr Duration acceptAgainAfter = 50ms;
-    /// After a time limit has ended, what has come by then is read for this long before it strikes. It needs one turn of the loop, and
-    /// was late only because this process stood still.
-    constexpr Duration lastLook = 10ms;
 
     using RequestParser = http::request_parser<http::string_body>;
 
@@ -184,7 +181,7 @@
     /// stood still would else close on a whole request that its caller had sent in time.
     void limitTime(Duration limit, void (Connection::*strike)())
     {
-        m_timer.start(limit, [self = shared_from_this(), strike] { self->m_timer.start(lastLook, [self, strike] { (*self.*strike)(); }); });
+        m_timer.limit(limit, [self = shared_from_this(), strike] { (*self.*strike)(); });
     }
 
     void read()
--- a/src/connection/Timer.h
+++ b/src/connection/Timer.h
@@ -19,6 +19,10 @@
 
 class Timer {
 public:
+    /// After a time limit has ended, what has come by then is read for this long before it strikes. It needs one turn of the loop, and
+    /// was late only because this process stood still.
+    static constexpr Duration lastLook = 10ms;
+
     /// \param executor the strand on which waits are reported.
     explicit Timer(const boost::asio::any_io_executor& executor)
         : m_timer(executor)
@@ -39,6 +43,12 @@
         });
     }
 
+    /// Like `start`, for a limit on what a peer sends: calls `f` only after what has come by the limit could be read.
+    template <typename F> void limit(Duration delay, F f)
+    {
+        start(delay, [this, f = std::move(f)]() mutable { start(lastLook, std::move(f)); });
+    }
+
     void cancel()
     {
         ++*m_currentWait;
--- a/src/version/ControllerLogic.cpp
+++ b/src/version/ControllerLogic.cpp
@@ -160,6 +160,12 @@
         m_documentQueue.push_back({ std::move(command), waiting });
         return;
     }
+    appendDocument(std::move(command), waiting, now);
+}
+
+void ControllerLogic::appendDocument(DocumentCommand command, Waiting waiting, Instant now)
+{
+    const auto& document = m_state.document();
     if (command.base && command.version > document.version() && command.base != document.version()) {
         ProposeReply answer;
         answer.code = ResultCode::ConfigUnavailable;
@@ -176,9 +182,7 @@
     while (!m_documentQueue.empty() && !m_raft.hasUnappliedDocument()) {
         auto next = std::move(m_documentQueue.front());
         m_documentQueue.pop_front();
-        auto rest = std::exchange(m_documentQueue, {});
-        propose(std::move(next.command), next.waiting, now);
-        m_documentQueue = std::move(rest);
+        appendDocument(std::move(next.command), next.waiting, now);
     }
     take(m_raft.flush(now), now);
 }
--- a/src/version/ControllerLogic.h
+++ b/src/version/ControllerLogic.h
@@ -122,6 +122,7 @@
     void answerPendingReads();
     void offerDocument(Instant);
     void proposeDocument(DocumentCommand, Waiting, Instant);
+    void appendDocument(DocumentCommand, Waiting, Instant);
     void proposeQueuedDocuments(Instant);
     void append(Command, Waiting, Instant);
     [[nodiscard]] PeerId leaderPeer() const;
--- a/src/version/DocumentFollower.cpp
+++ b/src/version/DocumentFollower.cpp
@@ -21,7 +21,7 @@
 void DocumentFollower::on(const FromPeer& event, Instant now)
 {
     if (const auto* offer = std::get_if<DocumentOffer>(&event.message))
-        onOffer(event.peer, *offer, now);
+        onOffer(event.peer, *offer);
     else if (const auto* part = std::get_if<DocumentPart>(&event.message))
         onPart(event.peer, *part, now);
 }
@@ -40,7 +40,7 @@
     giveUp();
 }
 
-void DocumentFollower::onOffer(PeerId peer, const DocumentOffer& offer, Instant)
+void DocumentFollower::onOffer(PeerId peer, const DocumentOffer& offer)
 {
     m_offers[peer] = offer.version;
     if (!offer.isCurrent)
@@ -69,12 +69,12 @@
         return cameLate();
     transfer.bytes += part.bytes;
     if (transfer.bytes.size() >= part.total)
-        return finish(now);
+        return finish();
     transfer.request.offset = transfer.bytes.size();
     ask(peer, transfer.request, now);
 }
 
-void DocumentFollower::finish(Instant)
+void DocumentFollower::finish()
 {
     auto transfer = std::move(*m_transfer);
     m_transfer.reset();
--- a/src/version/DocumentFollower.h
+++ b/src/version/DocumentFollower.h
@@ -87,13 +87,13 @@
     void on(const document::FromPeer&, Instant);
     void on(const document::PeerDown&, Instant);
     void on(const document::Tick&, Instant);
-    void onOffer(PeerId, const DocumentOffer&, Instant);
+    void onOffer(PeerId, const DocumentOffer&);
     void onPart(PeerId, const DocumentPart&, Instant);
     void askAnyone(Instant);
     void giveUp();
     void cameLate();
     void ask(PeerId, DocumentRequest, Instant);
-    void finish(Instant);
+    void finish();
     bool apply(const std::vector<DocumentStep>&);
 
     std::uint64_t m_version = 0;
