--- a/test/correctness/PauseTest.cpp
+++ b/test/correctness/PauseTest.cpp
@@ -59,7 +59,8 @@
     constexpr Duration limit = 30ms;
     IoContext io { 1 };
     CallerSettings settings;
-    settings.listen = "127.0.0.1:" + std::to_string(freePorts(1).front());
+    HeldPorts ports(1);
+    settings.listen = "127.0.0.1:" + std::to_string(ports[0]);
     std::string head = "POST /services/app/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n";
     std::string early;
     SUBCASE("idle") { settings.idleTime = limit; }
--- a/test/support/DocumentSite.cpp
+++ b/test/support/DocumentSite.cpp
@@ -1,7 +1,6 @@
 #include "DocumentSite.h"
 
 #include "HttpClient.h"
-#include "Ports.h"
 
 #include <filesystem>
 #include <fstream>
@@ -23,31 +22,17 @@
 
 DocumentSite::DocumentSite(std::size_t controllers, std::size_t gateways)
     : m_controllers(controllers)
+    , m_ports(2 * controllers)
 {
     m_folder = (std::filesystem::temp_directory_path() / "wrenhinge-documents-XXXXXX").string();
     if (!mkdtemp(m_folder.data()))
         throw std::runtime_error("no folder for a site");
-    while (!startControllers()) { }
+    for (std::size_t i = 0; i < controllers; ++i)
+        m_admin.push_back(startController(i));
     for (std::size_t i = 0; i < gateways; ++i)
         startGateway(i);
 }
 
-/// Controllers must know each other's ports before they start, and until they listen the kernel may give these to others.
-/// \returns false if it has.
-bool DocumentSite::startControllers()
-{
-    m_processes.clear();
-    m_admin.clear();
-    m_ports = freePorts(2 * m_controllers);
-    for (std::size_t i = 0; i < m_controllers; ++i) {
-        auto admin = startController(i);
-        if (admin.empty())
-            return false;
-        m_admin.push_back(admin);
-    }
-    return true;
-}
-
 DocumentSite::~DocumentSite()
 {
     m_processes.clear();
@@ -133,13 +118,14 @@
     m_processes[name] = std::make_unique<Process>(
         std::vector<std::string> { WRENHINGE_BUILD_FOLDER "/wrenhinge-platform", "--settings", file }, m_folder + "/" + name + ".log");
     auto line = m_processes[name]->readLine();
-    return line.empty() ? "" : nlohmann::json::parse(line).at("admin").get<std::string>();
+    if (line.empty())
+        throw std::runtime_error(name + " did not start");
+    return nlohmann::json::parse(line).at("admin").get<std::string>();
 }
 
 std::string DocumentSite::startController(std::size_t i)
 {
     auto data = m_folder + "/data" + std::to_string(i);
-    std::filesystem::remove_all(data);
     return start("c" + std::to_string(i),
         "role: controller\nlisten: " + address(2 * i) + "\ncontroller:\n  data: " + data + "\n  new-cluster: true\n  seeds: " + seeds()
             + "\n  door: " + address(2 * i + 1) + "\n");
--- a/test/support/DocumentSite.h
+++ b/test/support/DocumentSite.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "Ports.h"
 #include "Process.h"
 
 #include <map>
@@ -37,14 +38,13 @@
     [[nodiscard]] std::string address(std::size_t port) const;
     [[nodiscard]] std::string seeds() const;
     [[nodiscard]] long peakOf(const std::string& prefix) const;
-    /// \returns its admin address, or nothing if it did not start.
+    /// \returns its admin address.
     std::string start(const std::string& name, const std::string& settings);
-    bool startControllers();
     std::string startController(std::size_t i);
     void startGateway(std::size_t i);
 
     std::size_t m_controllers;
-    std::vector<std::uint16_t> m_ports;
+    HeldPorts m_ports;
     std::string m_folder;
     std::vector<std::string> m_admin; ///< Controllers first, then gateways.
     std::map<std::string, std::unique_ptr<Process>> m_processes;
