Engines' memory is admitted by a forecast, by a sidecar beside each engine

Cause: a gateway knew only its own requests and reserved prompt + 1.3 x estimate at the engine. 6 answers ran in a memory that holds 9, a third of it stayed empty while callers were refused, and answers beyond their reservation were set back though memory was free. Change: EngineAdmission reads the engine's report every 50 ms on its own machine, learns how far answers go beyond callers' estimates (AnswerLengths), and admits by the expected peak of all answers together (MemoryForecast). Gateways dial the sidecars, are told of the room, and reserve there; without a sidecar they reserve at the engine as before.

--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -108,6 +108,20 @@
         return std::nullopt;
     }
 
+    Fault check(const ReservationRequest& reservation)
+    {
+        if (!isToken(reservation.run))
+            return wrong("run", "1 to " + std::to_string(longestName) + " characters that can stand in a path", reservation.run);
+        return std::nullopt;
+    }
+
+    Fault check(const EngineRoom& room)
+    {
+        if (!isAddress(room.address))
+            return wrong("address", "IP:PORT", room.address);
+        return std::nullopt;
+    }
+
     template <typename T> Fault check(const T&) { return std::nullopt; }
 
 } // namespace
--- a/src/connection/PeerHub.cpp
+++ b/src/connection/PeerHub.cpp
@@ -52,6 +52,12 @@
     dialAfter(address, Duration::zero(), {});
 }
 
+void PeerHub::stopDialling(const std::string& address)
+{
+    std::lock_guard lock(m_mutex);
+    m_dialled.erase(address);
+}
+
 bool PeerHub::isLinkedByName(const std::string& name) const
 {
     return std::any_of(m_hellos.begin(), m_hellos.end(), [&name](const auto& item) { return item.second.name == name; });
@@ -78,7 +84,7 @@
     Duration spread {};
     {
         std::lock_guard lock(m_mutex);
-        if (m_stopped)
+        if (m_stopped || !m_dialled.contains(address))
             return;
         auto ceiling = backoff.ceiling();
         spread = std::uniform_int_distribution<std::int64_t>(ceiling.count() / 2, ceiling.count())(m_random) * 1us;
--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -558,9 +558,46 @@
     MSGPACK_DEFINE(version, base, offset, total, bytes)
 };
 
+// --- Where a sidecar watches the memory of an engine that gateways call themselves ------------------------------------
+
+/// From a gateway to a sidecar: asks for a slot and memory at its engine.
+struct ReservationRequest {
+    RequestId request;
+    Attempt attempt;
+    std::string run; ///< What the engine will call the request.
+    std::uint32_t promptTokens = 0;
+    std::uint32_t expectedTokens = 0; ///< Of the answer, as its caller expects.
+    std::uint32_t mostTokens = 0; ///< Of the answer, at most.
+    std::uint32_t slots = 0; ///< Requests that the engine runs at once.
+    MSGPACK_DEFINE(request, attempt, run, promptTokens, expectedTokens, mostTokens, slots)
+};
+
+struct ReservationReply {
+    RequestId request;
+    Attempt attempt;
+    bool isGranted = false;
+    std::uint64_t room = 0; ///< As in EngineRoom, with this reservation counted.
+    MSGPACK_DEFINE(request, attempt, isGranted, room)
+};
+
+/// From a gateway: the request has ended at the engine, or will not go there.
+struct ReservationEnd {
+    RequestId request;
+    bool isWhole = false; ///< Its answer came to its end.
+    MSGPACK_DEFINE(request, isWhole)
+};
+
+/// From a sidecar to all gateways.
+struct EngineRoom {
+    std::string address; ///< The engine's.
+    std::uint64_t tokens = 0; ///< That its KV memory can take beyond what its answers are expected to need; zero: it takes no request.
+    MSGPACK_DEFINE(address, tokens)
+};
+
 using Message = std::variant<Hello, Announce, SlotGrant, Refused, PrefillDone, ResponseHead, ResponseData, ResponseEnd, Failed, SealReply,
     SlotRequest, PrefillRequest, DecodeRequest, Dispatch, Cancel, Seal, Propose, ProposeReply, Watch, ConfigDelta, InForce, VoteRequest,
     VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, Announced, Withdrawn, RegistryPulse, DocumentOffer,
-    ControllerRoster, ReadIndex, ReadIndexReply, EngineLoadReport, StageChange, DocumentRequest, DocumentPart>;
+    ControllerRoster, ReadIndex, ReadIndexReply, EngineLoadReport, StageChange, DocumentRequest, DocumentPart,
+    ReservationRequest, ReservationReply, ReservationEnd, EngineRoom>;
 
 } // namespace wrenhinge
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -18,7 +18,10 @@
 #include "request/ForwardLogic.h"
 #include "version/DocumentFollower.h"
 
+#include <algorithm>
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <unordered_map>
 
@@ -88,6 +91,7 @@
                },
                   [this](PeerId peer) {
                       m_runtime.log().write({ EventCode::PeerDown, {}, toString(peer) });
+                      post(forward::SidecarGone { peer });
                       m_documents.post(document::PeerDown { peer });
                   },
                   [this](PeerId peer, Message&& message) { onMessage(peer, std::move(message)); },
@@ -189,9 +193,15 @@
             for (const auto& address : roster->addresses)
                 m_hub.dial(address);
         } else if (const auto* announced = std::get_if<Announced>(&message)) {
+            dialSidecar(announced->announcement);
             post(*announced);
         } else if (const auto* withdrawn = std::get_if<Withdrawn>(&message)) {
+            leaveSidecar(withdrawn->id);
             post(*withdrawn);
+        } else if (const auto* room = std::get_if<EngineRoom>(&message)) {
+            post(forward::RoomTold { peer, room->address, room->tokens });
+        } else if (const auto* reply = std::get_if<ReservationReply>(&message)) {
+            post(forward::ReservationAnswered { reply->request, reply->attempt, reply->isGranted, reply->room });
         } else if (const auto* pulse = std::get_if<RegistryPulse>(&message)) {
             post(*pulse);
         } else if (const auto* change = std::get_if<StageChange>(&message)) {
@@ -201,6 +211,31 @@
         }
     }
 
+    /// The sidecar of an engine listens on its machine.
+    void dialSidecar(const Announcement& engine)
+    {
+        if (!m_settings.sidecarPort || engine.kind == UpstreamKind::Plain)
+            return;
+        auto address = engine.address.substr(0, engine.address.rfind(':') + 1) + std::to_string(m_settings.sidecarPort);
+        std::lock_guard lock(m_sidecarMutex);
+        m_sidecars[engine.id] = address;
+        m_hub.dial(address);
+    }
+
+    /// Nobody answers at an address that is gone, and another engine may be given it.
+    void leaveSidecar(const std::string& engine)
+    {
+        std::lock_guard lock(m_sidecarMutex);
+        auto it = m_sidecars.find(engine);
+        if (it == m_sidecars.end())
+            return;
+        auto address = std::move(it->second);
+        m_sidecars.erase(it);
+        bool isShared = std::any_of(m_sidecars.begin(), m_sidecars.end(), [&address](const auto& item) { return item.second == address; });
+        if (!isShared)
+            m_hub.stopDialling(address);
+    }
+
     void carryDocument(document::Effect& effect)
     {
         if (auto* ask = std::get_if<document::Ask>(&effect))
@@ -316,6 +351,18 @@
         exchange->call = m_pool.call(take.replica, take.address, Dialect::takePlace(take), gather(onEnd, onFailure));
     }
 
+    void carry(forward::Reserve& reserve)
+    {
+        auto* exchange = find(reserve.id);
+        if (!exchange)
+            return;
+        m_hub.send(reserve.sidecar,
+            ReservationRequest { reserve.id, reserve.attempt, exchange->callerId, reserve.promptTokens, reserve.expectedTokens,
+                reserve.mostTokens, reserve.slots });
+    }
+
+    void carry(forward::EndReservation& end) { m_hub.send(end.sidecar, ReservationEnd { end.id, end.isWhole }); }
+
     void carry(forward::DropPlace& drop) { tell(drop.place.replica, drop.place.address, Dialect::dropPlace(drop.place)); }
 
     void carry(forward::FreePrompt& free) { tell(free.source.replica, free.source.address, Dialect::freePrompt(free.source)); }
@@ -484,6 +531,8 @@
     LogicDriver<ForwardLogic, forward::Event, forward::Effect> m_driver;
     std::unordered_map<RequestId, Exchange> m_exchanges; ///< Only on the strand.
     std::uint64_t m_lastSequence = 0;
+    std::mutex m_sidecarMutex; ///< Guards m_sidecars; the hub's lock is taken under it.
+    std::map<std::string, std::string> m_sidecars; ///< By engine id: where its sidecar listens.
     std::atomic<bool> m_isDraining = false;
     AdminServer m_adminServer; ///< Last: its threads look at everything above.
 };
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -149,6 +149,13 @@
         node.refuseUnknown();
     }
 
+    void readEngine(SettingsNode node, EngineSettings& engine)
+    {
+        node.required("address", engine.address, parseAddress);
+        node.optional("spare-deviations", engine.spareDeviations, parseRatio);
+        node.refuseUnknown();
+    }
+
     void readController(SettingsNode node, const std::string& self, ControllerSettings& controller)
     {
         node.optional("data", controller.data, parseAnything);
@@ -209,12 +216,17 @@
             root.list("controllers", settings.controllers, parseAddress);
         if (settings.role != Role::Sidecar)
             root.required("listen", settings.listen, parseAddress);
+        else
+            root.optional("listen", settings.listen, parseAddress);
         root.optional("controller-port", settings.controllerPort, parsePositive);
         if (settings.role == Role::Gateway) {
             readCallers(root.child("callers"), settings.callers);
             readRetries(root.child("retries"), settings.retries);
+            root.optional("sidecar-port", settings.sidecarPort, parsePositive);
         }
-        if (settings.role == Role::Sidecar) {
+        if (settings.role == Role::Sidecar && !settings.listen.empty()) {
+            readEngine(root.child("engine"), settings.engine);
+        } else if (settings.role == Role::Sidecar) {
             root.list("gateways", settings.gateways, parseAddress);
             if (settings.gateways.empty())
                 root.mistake("gateways", "list at least one gateway's address");
--- a/src/process/Settings.h
+++ b/src/process/Settings.h
@@ -32,6 +32,12 @@
     Duration announceEvery = 100ms;
 };
 
+/// A sidecar that only decides who may use an engine's memory: gateways dial it and call the engine themselves.
+struct EngineSettings {
+    std::string address; ///< Empty: the sidecar stands before an upstream.
+    double spareDeviations = 1;
+};
+
 struct MemberSettings {
     std::string name;
     std::string address;
@@ -74,7 +80,9 @@
     CallerSettings callers;
     RetrySettings retries;
     std::uint32_t controllerPort = 0; ///< Set: the controllers' peers port, whatever port their addresses name.
+    std::uint32_t sidecarPort = 0; ///< Gateways: where the sidecar of an engine listens on its machine; zero: there are none.
     UpstreamSettings upstream;
+    EngineSettings engine;
     ControllerSettings controller;
 };
 
--- /dev/null
+++ b/src/request/EngineAdmission.h
@@ -0,0 +1,153 @@
+/** \file
+ * Who may use an engine's KV memory: the decisions of the sidecar beside an engine that gateways call themselves.
+ *
+ * What goes wrong without it: each gateway knows only its own requests, and can ask the engine for a reservation only by a number of
+ * tokens. Reserved for what an answer may become, a third of the memory stays empty while callers are refused; reserved for less, the
+ * answers outgrow it together, and the engine sets running streams back and reads their prompts and answers anew. One notices by
+ * refusals for want of memory beside an engine that is half empty, or by pauses of running streams. This process sees the engine's own
+ * report every `readEvery`, knows each request's prompt and estimate, and admits by what the answers together are expected to need
+ * (MemoryForecast). Gateways are told how much room there is, so that they ask where there is some.
+ *
+ * An engine that does not answer has no room. A sidecar that is gone leaves the engine as it is: gateways then reserve at the engine.
+ */
+#pragma once
+
+#include "base/EventCode.h"
+#include "message/Messages.h"
+#include "request/MemoryForecast.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wrenhinge {
+
+namespace admission {
+
+    /// One run in an engine's report.
+    struct EngineRun {
+        std::string id;
+        std::uint32_t tokens = 0; ///< In memory, prompt and answer.
+        std::uint32_t events = 0; ///< Of its stream, so far.
+    };
+    /// What an engine says of its memory.
+    struct EngineReport {
+        bool isDecode = false;
+        std::uint64_t total = 0; ///< Tokens that the memory holds.
+        std::uint64_t used = 0; ///< Tokens that can't be dropped, whatever they belong to.
+        std::vector<EngineRun> runs;
+    };
+
+    // Events.
+    struct GatewayUp {
+        PeerId gateway;
+    };
+    struct GatewayDown {
+        PeerId gateway;
+    };
+    struct Ask {
+        PeerId gateway;
+        ReservationRequest request;
+    };
+    struct Ended {
+        PeerId gateway;
+        ReservationEnd end;
+    };
+    /// The answer to ReadEngine; nothing if there was none that can be used.
+    struct EngineRead {
+        std::uint64_t number = 0;
+        std::optional<EngineReport> report;
+    };
+    struct Tick { };
+    using Event = std::variant<GatewayUp, GatewayDown, Ask, Ended, EngineRead, Tick>;
+
+    // Effects.
+    struct Tell {
+        PeerId to;
+        Message message;
+    };
+    struct ReadEngine {
+        std::uint64_t number = 0; ///< Pairs the answer; those to earlier ones are late.
+    };
+    using Effect = std::variant<Tell, ReadEngine, Note>;
+
+} // namespace admission
+
+class EngineAdmission {
+public:
+    using Effects = std::vector<admission::Effect>;
+
+    struct Settings {
+        std::string engineAddress;
+        /// How many standard deviations of the forecast are kept free.
+        double spareDeviations = 1;
+    };
+
+    /// A report is read this often. Answers grow by 1% of the memory meanwhile (10 answers at 1,600 tokens a second, 78,000 tokens).
+    static constexpr Duration readEvery = 50ms;
+    /// An engine on the same machine answers within a millisecond; one that has not within this is taken to be down.
+    static constexpr Duration readLimit = 300ms;
+    /// A reservation that no run has used for this long lapses: several times the longest prefill with its queue. Also how long a run
+    /// counts that the engine's report has stopped naming, as one that is set back does until it is admitted again.
+    static constexpr Duration unusedLimit = 1500ms;
+    /// Gateways are told of the room when it has changed by this part of the memory, but not more often than `tellAgainAfter`; and
+    /// every `tellEvery`, as a message is lost with its link.
+    static constexpr std::uint64_t toldPart = 32;
+    static constexpr Duration tellAgainAfter = 30ms;
+    static constexpr Duration tellEvery = 1s;
+
+    explicit EngineAdmission(Settings);
+
+    Effects step(const admission::Event&, Instant now);
+    [[nodiscard]] Instant nextWake() const;
+
+    /// Tokens that the memory can take beyond what is expected to be needed.
+    [[nodiscard]] std::uint64_t room() const;
+    [[nodiscard]] std::size_t runs() const { return m_runs.size(); }
+
+private:
+    struct Run {
+        std::optional<RequestId> request; ///< Nothing: no gateway has reserved for it here.
+        PeerId gateway;
+        MemoryUse use;
+        Instant seenAt; ///< In a report, or when it was reserved for.
+    };
+
+    void on(const admission::GatewayUp&, Instant);
+    void on(const admission::GatewayDown&, Instant);
+    void on(const admission::Ask&, Instant);
+    void on(const admission::Ended&, Instant);
+    void on(const admission::EngineRead&, Instant);
+    void on(const admission::Tick&, Instant);
+
+    void takeRun(const admission::EngineRun&, Instant);
+    void learnStride(const admission::EngineRun&, const Run&);
+    void read(Instant);
+    void tellRoom(Instant);
+    [[nodiscard]] bool fits(const MemoryUse& added, std::uint32_t slots) const;
+    [[nodiscard]] std::vector<MemoryUse> uses() const;
+    [[nodiscard]] std::uint64_t available() const;
+    void updateRoom();
+    [[nodiscard]] bool isNews() const;
+
+    Settings m_settings;
+    AnswerLengths m_lengths;
+    std::map<std::string, Run> m_runs; ///< By the engine's name for them.
+    std::map<PeerId, bool> m_gateways; ///< Whether each has been told of the room.
+    double m_tokensPerEvent = 0; ///< As the reports show; zero: not known.
+
+    std::optional<admission::EngineReport> m_report;
+    std::uint64_t m_others = 0; ///< Of the memory in use, what belongs to no run.
+    std::uint64_t m_reading = 0; ///< The number of the newest read.
+    bool m_isReading = false;
+    Instant m_readAt; ///< When to read next, or to give up the present read.
+
+    std::uint64_t m_room = 0;
+    std::optional<std::uint64_t> m_told;
+    Instant m_toldAt;
+    Effects m_effects;
+};
+
+} // namespace wrenhinge
--- a/src/request/ForwardAnswers.cpp
+++ b/src/request/ForwardAnswers.cpp
@@ -153,7 +153,10 @@
 {
     flow.isCalling = false;
     m_replicas.end(flow.replica, tokensOf(flow), outcome, now - flow.sentAt, now);
-    if (flow.stage == Flow::Stage::Running && m_queue.size()) {
+    if (flow.stage != Flow::Stage::Running)
+        return;
+    endReservation(flow, outcome == CallOutcome::Served);
+    if (m_queue.size()) {
         m_replicas.noteRoom(flow.replica);
         m_mayAdmit = true;
     }
@@ -253,6 +256,7 @@
     m_effects.push_back(Finished { flow.route ? flow.route->name : "", code, flow.sends, flow.untilFirst, flow.waitedForPlace });
     dropSource(flow);
     dropPlace(flow);
+    endReservation(flow, false);
     auto id = flow.id;
     m_queue.remove(id);
     m_wakes.erase({ flow.checkAt, id });
--- a/src/request/ForwardEvents.h
+++ b/src/request/ForwardEvents.h
@@ -77,6 +77,22 @@
     Attempt attempt;
     bool wasReached = true;
 };
+/// The answer of a sidecar to Reserve.
+struct ReservationAnswered {
+    RequestId id;
+    Attempt attempt;
+    bool isGranted = false;
+    std::uint64_t room = 0; ///< In tokens, with this reservation counted.
+};
+/// A sidecar tells how much room its engine's memory has.
+struct RoomTold {
+    PeerId sidecar;
+    std::string address; ///< The engine's.
+    std::uint64_t tokens = 0;
+};
+struct SidecarGone {
+    PeerId sidecar;
+};
 /// A prefill replica holds the prompt's KV cache for a short time under this handle.
 struct PromptRead {
     RequestId id;
@@ -107,14 +123,14 @@
 using wrenhinge::RegistryPulse;
 using wrenhinge::StageChange;
 using wrenhinge::Withdrawn;
-using Event = std::variant<Submit, CallerGone, AnswerHead, AnswerBody, AnswerEnd, CallFailed, PlaceTaken, PlaceRefused, PromptRead,
-    PromptNotRead, TakeDocument, ConfirmDocument, Announced, Withdrawn, RegistryPulse, StageChange, Stop, Tick>;
+using Event = std::variant<Submit, CallerGone, AnswerHead, AnswerBody, AnswerEnd, CallFailed, PlaceTaken, PlaceRefused,
+    ReservationAnswered, RoomTold, SidecarGone, PromptRead, PromptNotRead, TakeDocument, ConfirmDocument, Announced, Withdrawn, RegistryPulse, StageChange, Stop, Tick>;
 
 /// A slot and memory that a decode replica has set aside.
 struct Place {
     ReplicaRun replica;
     std::string address;
-    std::string id;
+    std::string id; ///< Empty: a sidecar keeps it, and the replica knows nothing of it.
 };
 
 /// Where a prompt's KV cache can be fetched, once.
@@ -147,6 +163,22 @@
     std::uint32_t tokens = 0;
     Duration validFor {};
 };
+/// Ask the sidecar of a decode replica for a slot and memory.
+struct Reserve {
+    PeerId sidecar;
+    RequestId id;
+    Attempt attempt;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t expectedTokens = 0;
+    std::uint32_t mostTokens = 0;
+    std::uint32_t slots = 0; ///< Requests that the replica runs at once.
+};
+/// The request has ended at the replica, or won't go there.
+struct EndReservation {
+    PeerId sidecar;
+    RequestId id;
+    bool isWhole = false; ///< Its answer came to its end.
+};
 /// Give back what was set aside and won't be used.
 struct DropPlace {
     Place place;
@@ -208,7 +240,7 @@
 struct ReportLoad {
     EngineLoadReport report;
 };
-using Effect = std::variant<Send, CancelCall, TakePlace, DropPlace, FreePrompt, Reply, Refuse, BeginStream, StreamBytes, EndStream,
+using Effect = std::variant<Send, CancelCall, TakePlace, Reserve, EndReservation, DropPlace, FreePrompt, Reply, Refuse, BeginStream, StreamBytes, EndStream,
     BreakStream, Finished, ForgetReplica, SetLimits, ReportLoad, Note>;
 
 } // namespace wrenhinge::forward
--- a/src/request/ForwardFlow.h
+++ b/src/request/ForwardFlow.h
@@ -49,6 +49,7 @@
     // What waits at engines for this request.
     PlaceQueue::Waiter waiter;
     std::optional<forward::Place> place;
+    std::optional<PeerId> reservedBy; ///< The sidecar that was asked for the place, and then counts the request at its engine.
     std::optional<forward::PromptSource> source;
     Instant sourceEndsAt;
     std::optional<forward::PromptSource> sentSource; ///< Named in the present call, which fetches it if the replica takes the call.
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -162,6 +162,7 @@
     if (flow.place && flow.place->replica.isBefore(newest)) {
         m_replicas.release(flow.place->replica, tokensOf(flow));
         flow.place.reset();
+        endReservation(flow, false);
     }
     if (flow.isCalling && flow.replica.isBefore(newest))
         giveUpCall(flow, now);
@@ -176,8 +177,10 @@
     m_effects.push_back(CancelCall { flow.id, flow.attempt });
     m_effects.push_back(Note { EventCode::RequestRetried, flow.id, toString(flow.replica) + " has started again" });
     endCall(flow, CallOutcome::Abandoned, now);
-    if (flow.stage == Flow::Stage::TakingPlace)
+    if (flow.stage == Flow::Stage::TakingPlace) {
+        endReservation(flow, false);
         return waitAgain(flow);
+    }
     // A run that has ended is none of the replicas to which the route's attempts are limited, but the call to it has cost the
     // service work: another one must fit into the retry budget.
     prefillElsewhere(flow, m_budget.take(flow.service, now), now);
@@ -311,6 +314,7 @@
     if (const auto* rule = engineRule(flow)) {
         need.kind = UpstreamKind::Decode;
         need.tokens = tokensOf(flow);
+        need.promptTokens = flow.ask.promptTokens;
         need.cacheTokens = rule->engine.cacheTokens;
     }
     return need;
@@ -477,6 +481,7 @@
 {
     if (flow.isCalling && flow.stage == Flow::Stage::TakingPlace) {
         m_effects.push_back(CancelCall { flow.id, flow.attempt });
+        endReservation(flow, false);
         return on(PlaceRefused { flow.id, flow.attempt, false }, now);
     }
     if (flow.isCalling && flow.stage == Flow::Stage::Prefilling) {
--- a/src/request/ForwardLogic.h
+++ b/src/request/ForwardLogic.h
@@ -75,6 +75,9 @@
     void on(const forward::CallFailed&, Instant);
     void on(const forward::PlaceTaken&, Instant);
     void on(const forward::PlaceRefused&, Instant);
+    void on(const forward::ReservationAnswered&, Instant);
+    void on(const forward::RoomTold&, Instant);
+    void on(const forward::SidecarGone&, Instant);
     void on(const forward::PromptRead&, Instant);
     void on(const forward::PromptNotRead&, Instant);
     void on(const forward::TakeDocument&, Instant);
@@ -101,6 +104,7 @@
     void reportLoad(Instant);
     void takePlace(Flow&, const ReplicaTable::Choice&, Instant);
     void waitAgain(Flow&);
+    void endReservation(Flow&, bool isWhole);
     void refuseLeaving(Instant);
     [[nodiscard]] Duration returnAfterSurge(const Flow&, Instant);
     bool prefill(Flow&, Instant);
--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/ForwardPlaces.cpp
@@ -68,11 +68,46 @@
 {
     flow.stage = Flow::Stage::TakingPlace;
     startCall(flow, choice, now);
-    auto validFor = std::min(engineRule(flow)->engine.placeHold, placeValidFor);
-    m_effects.push_back(TakePlace { flow.id, flow.attempt, choice.run, choice.address, tokensOf(flow), validFor });
+    const auto& engine = engineRule(flow)->engine;
+    if (const auto* room = m_replicas.rooms().find(choice.address)) {
+        flow.reservedBy = room->sidecar;
+        m_replicas.rooms().take(choice.address, flow.ask.promptTokens);
+        m_effects.push_back(Reserve { room->sidecar, flow.id, flow.attempt, flow.ask.promptTokens, expectedTokensOf(flow),
+            flow.ask.outputTokens, engine.slots });
+    } else {
+        auto validFor = std::min(engine.placeHold, placeValidFor);
+        m_effects.push_back(TakePlace { flow.id, flow.attempt, choice.run, choice.address, tokensOf(flow), validFor });
+    }
     scheduleCheck(flow);
 }
 
+void ForwardLogic::on(const ReservationAnswered& event, Instant now)
+{
+    auto* flow = current(event.id, event.attempt);
+    if (!flow || flow->stage != Flow::Stage::TakingPlace)
+        return;
+    m_replicas.rooms().setTokens(flow->replicaAddress, event.room);
+    if (event.isGranted)
+        return on(PlaceTaken { event.id, event.attempt, "" }, now);
+    flow->reservedBy.reset();
+    on(PlaceRefused { event.id, event.attempt, true }, now);
+}
+
+void ForwardLogic::on(const RoomTold& event, Instant)
+{
+    bool isMore = m_replicas.rooms().tell(event.address, event.sidecar, event.tokens);
+    m_mayAdmit = m_mayAdmit || (isMore && m_queue.size());
+}
+
+void ForwardLogic::on(const SidecarGone& event, Instant) { m_replicas.rooms().forget(event.sidecar); }
+
+/// Tells the sidecar that keeps the flow's place, if any, that it is of no use any more.
+void ForwardLogic::endReservation(Flow& flow, bool isWhole)
+{
+    if (auto sidecar = std::exchange(flow.reservedBy, std::nullopt))
+        m_effects.push_back(EndReservation { *sidecar, flow.id, isWhole });
+}
+
 void ForwardLogic::on(const PlaceTaken& event, Instant now)
 {
     auto* flow = current(event.id, event.attempt);
@@ -124,7 +159,10 @@
     if (!place)
         return;
     m_replicas.release(place->replica, tokensOf(flow));
-    m_effects.push_back(DropPlace { std::move(*place) });
+    if (flow.reservedBy)
+        endReservation(flow, false);
+    else
+        m_effects.push_back(DropPlace { std::move(*place) });
 }
 
 /// Where the request runs: at its place, if that replica still takes work.
--- a/src/request/ReplicaTable.cpp
+++ b/src/request/ReplicaTable.cpp
@@ -1,6 +1,7 @@
 #include "request/ReplicaTable.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace wrenhinge {
 
@@ -26,7 +27,9 @@
 {
     const auto& announcement = entry.announcement;
     double cost = 0;
-    if (need.cacheTokens) {
+    if (const auto* room = need.cacheTokens ? m_rooms.find(announcement.address) : nullptr) {
+        cost = static_cast<double>(need.cacheTokens - std::min(need.cacheTokens, room->tokens)) + need.tokens;
+    } else if (need.cacheTokens) {
         cost = static_cast<double>(load.tokens) + tokensPerCall * load.calls + need.tokens;
         // Beyond its memory a replica must preempt or queue.
         if (load.tokens + need.tokens > need.cacheTokens)
@@ -68,24 +71,26 @@
 std::optional<ReplicaTable::Choice> ReplicaTable::choose(const Need& need, const std::set<ReplicaRun>& tried, Instant now)
 {
     const ReplicaRegistry::Entry* best = nullptr;
-    bool bestIsDoubtful = true;
-    double bestCost = 0;
+    std::tuple<bool, bool, double> bestRank;
     for (const auto& [id, entry] : m_registry.entries()) {
         auto run = entry.announcement.run();
         if (!serves(entry.announcement, need.service, need.kind) || tried.contains(run) || entry.isChanging(now))
             continue;
         const auto& load = m_loads[run];
         bool isAtLimit = need.maxCalls && load.calls >= need.maxCalls;
-        if (isAtLimit || (need.skipsFull && load.fullUntil > now))
+        const auto* room = m_rooms.find(entry.announcement.address);
+        bool isFull = load.fullUntil > now || (room && room->tokens < need.promptTokens);
+        if (isAtLimit || (need.skipsFull && isFull))
             continue;
-        bool isDoubtful = this->isDoubtful(entry, load, now);
+        // An engine whose room is not known looks as idle as this gateway keeps it, which is the least of what it does.
+        bool isBlind = need.promptTokens && !room;
         // Gateways that see the same idle replicas must not all take the first: a spread below a tenth breaks ties.
         double cost = costOf(entry, load, need) * std::uniform_real_distribution<double>(1, 1.1)(m_random);
-        if (best && (isDoubtful > bestIsDoubtful || (isDoubtful == bestIsDoubtful && cost >= bestCost)))
+        std::tuple rank(isDoubtful(entry, load, now), isBlind, cost);
+        if (best && rank >= bestRank)
             continue;
         best = &entry;
-        bestIsDoubtful = isDoubtful;
-        bestCost = cost;
+        bestRank = rank;
     }
     if (!best)
         return std::nullopt;
--- a/src/request/ReplicaTable.h
+++ b/src/request/ReplicaTable.h
@@ -11,6 +11,7 @@
  */
 #pragma once
 
+#include "request/EngineRooms.h"
 #include "request/ReplicaRegistry.h"
 
 #include <map>
@@ -40,6 +41,7 @@
         std::string service;
         UpstreamKind kind = UpstreamKind::Plain;
         std::uint32_t tokens = 0; ///< What the request puts into an engine's memory.
+        std::uint32_t promptTokens = 0; ///< Of these, what it needs from the start.
         std::uint64_t cacheTokens = 0; ///< What a replica's memory holds; zero: no engine.
         bool skipsFull = false; ///< Rather none than one that has no room now.
         std::uint32_t maxCalls = 0; ///< A replica with this many calls from here is not sent another; zero: no limit.
@@ -80,6 +82,8 @@
     /// The replica refused to set a place aside.
     void noteFull(const ReplicaRun&, Instant until);
     void noteRoom(const ReplicaRun& run) { noteFull(run, {}); }
+    /// What the sidecars of engines tell of their memory.
+    EngineRooms& rooms() { return m_rooms; }
     /// Whether this very run takes work.
     [[nodiscard]] bool isReady(const ReplicaRun&) const;
     /// Drops what is known of runs that have ended, but for those with calls in progress.
@@ -98,6 +102,7 @@
     std::mt19937_64 m_random;
     ReplicaRegistry m_registry;
     std::map<ReplicaRun, Load> m_loads;
+    EngineRooms m_rooms;
     Instant m_controllerHeardAt;
 };
 
