--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -606,7 +606,7 @@
 using Message = std::variant<Hello, Announce, SlotGrant, Refused, PrefillDone, ResponseHead, ResponseData, ResponseEnd, Failed, SealReply,
     SlotRequest, PrefillRequest, DecodeRequest, Dispatch, Cancel, Seal, Propose, ProposeReply, Watch, ConfigDelta, InForce, VoteRequest,
     VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, Announced, Withdrawn, RegistryPulse, DocumentOffer,
-    ControllerRoster, ReadIndex, ReadIndexReply, EngineLoadReport, StageChange, DocumentRequest, DocumentPart,
-    ReservationRequest, ReservationReply, ReservationEnd, EngineRoom, PrefillNotice>;
+    ControllerRoster, ReadIndex, ReadIndexReply, EngineLoadReport, StageChange, DocumentRequest, DocumentPart, ReservationRequest,
+    ReservationReply, ReservationEnd, EngineRoom, PrefillNotice>;
 
 } // namespace wrenhinge
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -362,10 +362,7 @@
                 reserve.mostTokens, reserve.slots });
     }
 
-    void carry(forward::NotePrefill& note)
-    {
-        m_hub.send(note.sidecar, PrefillNotice { note.id, note.promptTokens, note.hasEnded });
-    }
+    void carry(forward::NotePrefill& note) { m_hub.send(note.sidecar, PrefillNotice { note.id, note.promptTokens, note.hasEnded }); }
 
     void carry(forward::EndReservation& end) { m_hub.send(end.sidecar, ReservationEnd { end.id, end.isWhole }); }
 
--- a/src/request/EngineAdmission.cpp
+++ b/src/request/EngineAdmission.cpp
@@ -27,10 +27,7 @@
     return std::exchange(m_effects, {});
 }
 
-Instant EngineAdmission::nextWake() const
-{
-    return std::min(m_readAt, m_toldAt + (isNews() ? tellAgainAfter : tellEvery));
-}
+Instant EngineAdmission::nextWake() const { return std::min(m_readAt, m_toldAt + (isNews() ? tellAgainAfter : tellEvery)); }
 
 // --- Gateways ---------------------------------------------------------------------------------------------------
 
--- a/src/request/EngineLoad.cpp
+++ b/src/request/EngineLoad.cpp
@@ -54,8 +54,8 @@
     for (auto& [name, service] : m_services) {
         bool isKnown = service.secondsPerToken > 0 && service.answers >= answersBeforeReport;
         if (isKnown && service.requests) {
-            auto ofMemory
-                = static_cast<double>(service.tokens) / (usableMemory * static_cast<double>(std::max<std::uint64_t>(1, service.facts.cacheTokens)));
+            auto ofMemory = static_cast<double>(service.tokens)
+                / (usableMemory * static_cast<double>(std::max<std::uint64_t>(1, service.facts.cacheTokens)));
             auto ofSlots = static_cast<double>(service.requests) / std::max(1u, service.facts.slots);
             auto& busy = report.services[name];
             busy.prefill = static_cast<double>(service.promptTokens) * service.secondsPerToken / seconds;
--- a/src/request/ForwardEvents.h
+++ b/src/request/ForwardEvents.h
@@ -124,8 +124,9 @@
 using wrenhinge::RegistryPulse;
 using wrenhinge::StageChange;
 using wrenhinge::Withdrawn;
-using Event = std::variant<Submit, CallerGone, AnswerHead, AnswerBody, AnswerEnd, CallFailed, PlaceTaken, PlaceRefused,
-    ReservationAnswered, RoomTold, SidecarGone, PromptRead, PromptNotRead, TakeDocument, ConfirmDocument, Announced, Withdrawn, RegistryPulse, StageChange, Stop, Tick>;
+using Event = std::variant<Submit, CallerGone, AnswerHead, AnswerBody, AnswerEnd, CallFailed, PlaceTaken, PlaceRefused, ReservationAnswered,
+    RoomTold, SidecarGone, PromptRead, PromptNotRead, TakeDocument, ConfirmDocument, Announced, Withdrawn, RegistryPulse, StageChange, Stop,
+    Tick>;
 
 /// A slot and memory that a decode replica has set aside.
 struct Place {
@@ -248,7 +249,7 @@
 struct ReportLoad {
     EngineLoadReport report;
 };
-using Effect = std::variant<Send, CancelCall, TakePlace, Reserve, EndReservation, NotePrefill, DropPlace, FreePrompt, Reply, Refuse, BeginStream, StreamBytes, EndStream,
-    BreakStream, Finished, ForgetReplica, SetLimits, ReportLoad, Note>;
+using Effect = std::variant<Send, CancelCall, TakePlace, Reserve, EndReservation, NotePrefill, DropPlace, FreePrompt, Reply, Refuse,
+    BeginStream, StreamBytes, EndStream, BreakStream, Finished, ForgetReplica, SetLimits, ReportLoad, Note>;
 
 } // namespace wrenhinge::forward
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -35,10 +35,6 @@
     constexpr std::uint32_t growthPartAtPeak = 4;
     /// Without an estimate of its caller an answer is taken to be this part of what it may be.
     constexpr std::uint32_t usualPartOfOutput = 2;
-    /// A caller with less patience than others on its route by this much was refused elsewhere and has come back: that took 50 ms at the
-    /// least. One that has only made a new connection has spent a round trip, 6 to 12 ms; taken for one that has come back, its stream was
-    /// begun at a gateway that was stopping and cut 7 s later.
-    constexpr Duration spentByReturn = 30ms;
     /// Another gateway can take the request now, so its caller need not wait; not quite zero, which some take for nothing said.
     constexpr Duration returnElsewhere = 10ms;
 
@@ -418,18 +414,15 @@
 
 // --- The end of this process ------------------------------------------------------------------------------------
 
-/// Whether the stream might outlive this process. A first attempt is refused if one in a hundred like it would be cut: it loses some
-/// 100 ms on its way to another gateway, a cut one all of its seconds. A caller that has come back was refused by another gateway,
-/// and may have no further attempt: it is refused only if it would more likely be cut than not. Where nothing is known yet, each
-/// is dealt with as if the worst were.
+/// Whether the stream might outlive this process. It is refused if one in a hundred like it would be cut: it loses some 100 ms on its way
+/// to another gateway, a cut one all of its seconds. Where too little is known of streams, any might be cut. A caller that was refused
+/// by another stopping gateway can't be told from one with less patience, and may have no further attempt; but it knows at once.
 bool ForwardLogic::mightBeCut(const Flow& flow) const
 {
     if (!m_stopsAt || !flow.route->isStream || flow.endsAt <= *m_stopsAt)
         return false;
-    bool hasComeBack = spentBefore(flow) >= spentByReturn;
-    auto expected = expectedTokensOf(flow);
-    auto lasts = hasComeBack ? m_forecast.usual(flow.service, expected) : m_forecast.longest(flow.service, expected);
-    return lasts ? flow.arrivedAt + *lasts > *m_stopsAt : !hasComeBack;
+    auto lasts = m_forecast.longest(flow.service, expectedTokensOf(flow));
+    return !lasts || flow.arrivedAt + *lasts > *m_stopsAt;
 }
 
 void ForwardLogic::refuseToBeCut(Flow& flow, Instant now)
@@ -514,8 +507,8 @@
     }
     // A second call to replicas that are full makes both late.
     bool isOverloaded = flow.stage == Flow::Stage::Running && m_shedder.refusedShare(flow.service) > 0;
-    bool mayGoOn = !isOverloaded && flow.isCalling && flow.stage == Flow::Stage::Running && flow.runs + 1 < flow.route->maxAttempts && flow.sends < sendLimit
-        && m_replicas.choose(needOf(flow), flow.tried, now);
+    bool mayGoOn = !isOverloaded && flow.isCalling && flow.stage == Flow::Stage::Running && flow.runs + 1 < flow.route->maxAttempts
+        && flow.sends < sendLimit && m_replicas.choose(needOf(flow), flow.tried, now);
     if (!mayGoOn || !m_budget.take(flow.service, now)) {
         flow.checkAt = flow.endsAt;
         m_wakes.insert({ flow.checkAt, flow.id });
--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/ForwardPlaces.cpp
@@ -74,8 +74,8 @@
     if (const auto* room = m_replicas.rooms().find(choice.address)) {
         flow.reservedBy = room->sidecar;
         m_replicas.rooms().take(choice.address, flow.ask.promptTokens);
-        m_effects.push_back(Reserve { room->sidecar, flow.id, flow.attempt, flow.ask.promptTokens, expectedTokensOf(flow),
-            flow.ask.outputTokens, engine.slots });
+        m_effects.push_back(Reserve {
+            room->sidecar, flow.id, flow.attempt, flow.ask.promptTokens, expectedTokensOf(flow), flow.ask.outputTokens, engine.slots });
     } else {
         auto validFor = std::min(engine.placeHold, placeValidFor);
         m_effects.push_back(TakePlace { flow.id, flow.attempt, choice.run, choice.address, tokensOf(flow), validFor });
--- a/src/request/ReplicaTable.cpp
+++ b/src/request/ReplicaTable.cpp
@@ -31,7 +31,8 @@
     const auto& announcement = entry.announcement;
     double cost = 0;
     if (const auto* room = need.cacheTokens ? m_rooms.find(announcement.address) : nullptr) {
-        auto taken = need.kind == UpstreamKind::Prefill ? room->prefillBacklog : need.cacheTokens - std::min(need.cacheTokens, room->tokens);
+        auto taken
+            = need.kind == UpstreamKind::Prefill ? room->prefillBacklog : need.cacheTokens - std::min(need.cacheTokens, room->tokens);
         cost = static_cast<double>(taken) + need.tokens;
     } else if (need.cacheTokens) {
         cost = static_cast<double>(load.tokens) + tokensPerCall * load.calls + need.tokens;
--- a/src/request/StagePlan.cpp
+++ b/src/request/StagePlan.cpp
@@ -9,11 +9,12 @@
 namespace {
 
     /// How busy the busier stage is with this split. Prompts queue at a prefill replica, so that stage needs more replicas than it keeps
-    /// busy: as many more as the square root of that, which keeps the queue short at any size. In proportion, two replicas of a site with
-    /// eleven were left to read for 1.4, and first events waited for 0.6 s in surges; at a site with forty too few were given up.
+    /// busy: more by half the square root of that, which keeps the queue equally short at any size. In proportion, two replicas of a site
+    /// with eleven were left to read for 1.4, and first events waited for 0.6 s in surges; at a site with forty too few were given up.
+    constexpr double prefillSpare = 0.5;
     double busiest(const Pool& pool, std::size_t prefill, std::size_t decode)
     {
-        auto needsPrefill = pool.prefillBusy + std::sqrt(pool.prefillBusy);
+        auto needsPrefill = pool.prefillBusy + prefillSpare * std::sqrt(pool.prefillBusy);
         return std::max(needsPrefill / static_cast<double>(prefill), pool.decodeBusy / static_cast<double>(decode));
     }
 
--- a/src/request/StreamForecast.h
+++ b/src/request/StreamForecast.h
@@ -37,8 +37,6 @@
     void note(const std::string& service, std::uint32_t expectedTokens, Duration untilFirst, Duration afterFirst);
     /// What hardly any stream exceeds, from its arrival to its end. Nothing: too little is known.
     [[nodiscard]] std::optional<Duration> longest(const std::string& service, std::uint32_t expectedTokens) const;
-    /// What half of them exceed.
-    [[nodiscard]] std::optional<Duration> usual(const std::string& service, std::uint32_t expectedTokens) const;
 
 private:
     struct Stream {
