--- a/src/process/Settings.h
+++ b/src/process/Settings.h
@@ -35,7 +35,7 @@
 /// A sidecar that only decides who may use an engine's memory: gateways dial it and call the engine themselves.
 struct EngineSettings {
     std::string address; ///< Empty: the sidecar stands before an upstream.
-    double spareDeviations = 1;
+    double spareDeviations = 2; ///< See EngineAdmission::Settings.
 };
 
 struct MemberSettings {
--- a/src/request/EngineAdmission.h
+++ b/src/request/EngineAdmission.h
@@ -86,8 +86,10 @@
 
     struct Settings {
         std::string engineAddress;
-        /// How many standard deviations of the forecast are kept free.
-        double spareDeviations = 1;
+        /// How many standard deviations of the forecast are kept free. A stream that is set back costs its caller a pause and the engine a
+        /// prompt and an answer read anew, about twice what a refused one costs. With 1, 1.5, 2 and 3 some 40, 18, 5 and 3 streams a day
+        /// were set back, and the mean worth of five days of eleven engines was 0.466, 0.493, 0.513 and 0.476.
+        double spareDeviations = 2;
     };
 
     /// A report is read this often. Answers grow by 1% of the memory meanwhile (10 answers at 1,600 tokens a second, 78,000 tokens).
@@ -102,10 +104,10 @@
     /// A reservation that no run has used for this long lapses: several times the longest prefill with its queue. Also how long a run
     /// counts that the engine's report has stopped naming, as one that is set back does until it is admitted again.
     static constexpr Duration unusedLimit = 1500ms;
+    /// A prefill that nobody has reported as ended counts no longer after this.
+    static constexpr Duration longestPrefill = 3s;
     /// Gateways are told of the room when it has changed by this part of the memory, but not more often than `tellAgainAfter`; and
     /// every `tellEvery`, as a message is lost with its link.
-    /// The same of a prefill that nobody has reported as ended.
-    static constexpr Duration longestPrefill = 3s;
     static constexpr std::uint64_t toldPart = 32;
     static constexpr Duration tellAgainAfter = 30ms;
     static constexpr Duration tellEvery = 1s;
--- a/src/request/MemoryForecast.cpp
+++ b/src/request/MemoryForecast.cpp
@@ -17,7 +17,17 @@
         double variance = 0;
     };
 
-    std::uint32_t leftAtMost(const MemoryUse& use) { return use.most - std::min(use.most, use.generated); }
+    /// An answer is hardly ever so many times as long as its caller expects.
+    constexpr std::uint64_t mostTimes = 8;
+
+    /// Tokens that an answer may still have. What callers allow may be far beyond what any answer needs: moments spread over all of it
+    /// would lie so far apart that the peak, which is near, falls between two of them.
+    std::uint32_t leftAtMost(const MemoryUse& use)
+    {
+        auto plausible = std::max<std::uint64_t>(mostTimes * use.expected, 2ull * use.generated);
+        auto most = std::min<std::uint64_t>(use.most, plausible);
+        return static_cast<std::uint32_t>(most - std::min<std::uint64_t>(most, use.generated));
+    }
 
     std::array<Moment, moments> momentsUntil(std::uint32_t horizon)
     {
--- a/test/correctness/AdmissionTest.cpp
+++ b/test/correctness/AdmissionTest.cpp
@@ -120,6 +120,11 @@
     CHECK(peak >= 9 * 5100 + 36 * 600);
     CHECK(forecastPeak(uses, lengths, 2) > peak);
     CHECK(forecastPeak({}, lengths, 2) == 0);
+    // What callers allow beyond what they expect changes little.
+    auto bounded = forecastPeak(uses, lengths, 2);
+    for (auto& use : uses)
+        use.most = 4'000'000'000;
+    CHECK(forecastPeak(uses, lengths, 2) > 0.95 * bounded);
 }
 
 TEST_CASE("an engine is filled by what its answers need together, and hardly ever beyond its memory")
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -841,6 +841,97 @@
     CHECK(bench.did<Refuse>().empty());
 }
 
+// --- Sidecars beside engines ------------------------------------------------------------------------------------
+
+TEST_CASE("a request reserves at the sidecar of an engine, and the sidecar hears of its end")
+{
+    Bench bench;
+    bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
+    constexpr PeerId besideDecode { 5 };
+    constexpr PeerId besidePrefill { 6 };
+    bench.post(RoomTold { "d:80", { besideDecode, 60000, 0 } });
+    bench.post(RoomTold { "p:80", { besidePrefill, 0, 0 } });
+    auto id = bench.ask("/stream/x");
+    auto reserve = bench.only<Reserve>();
+    CHECK(bench.did<TakePlace>().empty());
+    CHECK((reserve.sidecar == besideDecode));
+    CHECK(reserve.promptTokens == 5000);
+    CHECK(reserve.expectedTokens == 400);
+    CHECK(reserve.mostTokens == 800);
+    bench.post(ReservationAnswered { id, reserve.attempt, true, 50000 });
+    CHECK((bench.only<NotePrefill>().sidecar == besidePrefill));
+    CHECK(!bench.only<NotePrefill>().hasEnded);
+    auto prefill = bench.only<Send>();
+    bench.post(PromptRead { prefill.id, prefill.attempt, "kv-1" });
+    CHECK(bench.only<NotePrefill>().hasEnded);
+    auto send = bench.only<Send>();
+    CHECK(send.replica.id == "d");
+    CHECK(send.place.empty()); // The engine knows nothing of it.
+    bench.streamHead(send);
+    bench.post(AnswerBody { send.id, send.attempt, "id: 1\ndata: a\n\n" });
+    bench.post(AnswerEnd { send.id, send.attempt });
+    CHECK((bench.only<EndReservation>().sidecar == besideDecode));
+    CHECK(bench.only<EndReservation>().isWhole);
+}
+
+TEST_CASE("a reservation is given back whatever becomes of its request")
+{
+    for (bool isGranted : { false, true }) {
+        Bench bench;
+        bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
+        bench.post(RoomTold { "d:80", { PeerId(5), 60000, 0 } });
+        auto id = bench.ask("/stream/x");
+        if (isGranted)
+            bench.post(ReservationAnswered { id, bench.only<Reserve>().attempt, true, 50000 });
+        bench.post(CallerGone { id });
+        CHECK((bench.only<EndReservation>().id == id));
+        CHECK(!bench.only<EndReservation>().isWhole);
+        CHECK(bench.did<DropPlace>().empty());
+    }
+}
+
+TEST_CASE("a gateway asks an engine with room, waits while none has any, and goes on without sidecars")
+{
+    Bench bench;
+    bench.serve().replica("d", UpstreamKind::Decode).replica("e", UpstreamKind::Decode);
+    bench.post(RoomTold { "d:80", { PeerId(5), 4000, 0 } });
+    bench.post(RoomTold { "e:80", { PeerId(6), 30000, 0 } });
+    bench.ask("/stream/x");
+    CHECK((bench.only<Reserve>().sidecar == PeerId(6)));
+    // The sidecar refuses: another gateway was there first. No room anywhere, so the request waits until there is some.
+    bench.post(ReservationAnswered { bench.only<Reserve>().id, bench.only<Reserve>().attempt, false, 0 });
+    CHECK(bench.did<Reserve>().empty());
+    bench.wait(100ms);
+    CHECK(bench.did<Reserve>().empty());
+    bench.post(RoomTold { "d:80", { PeerId(5), 20000, 0 } });
+    CHECK((bench.only<Reserve>().sidecar == PeerId(5)));
+    // A sidecar that does not answer is left alone, and one that is gone leaves its engine to be asked itself.
+    bench.post(SidecarGone { PeerId(6) });
+    bench.wait(121ms);
+    CHECK(bench.did<EndReservation>().size() == 1);
+    CHECK(bench.only<TakePlace>().replica.id == "e");
+}
+
+TEST_CASE("of prefill replicas the one with the shortest backlog is chosen, whoever has sent there")
+{
+    // Symptom: first events come 0.7 s late. Sequence: eight gateways send one prompt each at a time; each takes the nearest replica, where
+    // 20 prompts wait beside one with 2. Cause: each knew only what it had sent itself.
+    Bench bench;
+    bench.serve().replica("p", UpstreamKind::Prefill).replica("q", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 10; ++i) {
+        bench.post(RoomTold { "p:80", { PeerId(5), 0, 50000 } });
+        bench.post(RoomTold { "q:80", { PeerId(6), 0, 5000 } });
+        auto take = [&] {
+            bench.ask("/stream/x");
+            return bench.only<TakePlace>();
+        }();
+        bench.post(PlaceTaken { take.id, take.attempt, "place" });
+        ++chosen[bench.only<Send>().replica.id];
+    }
+    CHECK(chosen["q"] == 10);
+}
+
 // --- Replicas that start again under their id -------------------------------------------------------------------
 
 TEST_CASE("what was taken, read or asked for at a former run is given up at once, and nothing is given back to the newer one")
--- a/test/error/SettingsErrorTest.cpp
+++ b/test/error/SettingsErrorTest.cpp
@@ -16,6 +16,8 @@
 const std::string sidecar = "role: sidecar\nname: s\nsite: s\nzone: z\nadmin: 127.0.0.1:0\ngateways: [127.0.0.1:1]\nupstream:\n  service: "
                             "x\n  kind: decode\n  address: "
                             "127.0.0.1:9\n  slots: 20\n";
+const std::string besideEngine = "role: sidecar\nname: s\nsite: s\nzone: z\nadmin: 127.0.0.1:0\nlisten: 127.0.0.1:0\nengine:\n  "
+                                 "address: 127.0.0.1:9\n";
 const std::string controller = "role: controller\nname: c\nsite: s\nzone: z\nadmin: 127.0.0.1:0\nlisten: 127.0.0.1:0\ncontroller:\n  data: "
                                "d\n  members:\n    - { name: c, "
                                "address: \"127.0.0.1:1\" }\n";
@@ -43,6 +45,9 @@
         { "a: b: c", "not YAML" },
         { "role: gateway\n\tname: x\n", "not YAML" },
         { replaced(gateway, "role: gateway", "role: proxy"), "f:1: role" },
+        { replaced(besideEngine, "  address: 127.0.0.1:9", "  spare-deviations: 2"), "engine.address" },
+        { replaced(besideEngine, "127.0.0.1:9\n", "127.0.0.1:9\n  spare-deviations: many\n"), "engine.spare-deviations" },
+        { replaced(besideEngine, "listen: 127.0.0.1:0\n", ""), "gateways" },
         { replaced(gateway, "role: gateway\n", ""), "role: is missing" },
         { replaced(gateway, "name: g\n", ""), "name: is missing" },
         { replaced(gateway, "site: s\n", ""), "site: is missing" },
@@ -120,7 +125,7 @@
 TEST_CASE("good settings are taken")
 {
     // A controller that finds its group by seeds may be without a disk.
-    for (const auto& text : { gateway, sidecar, controller, seeded, replaced(seeded, "data: d", "data: ''") }) {
+    for (const auto& text : { gateway, sidecar, besideEngine, controller, seeded, replaced(seeded, "data: d", "data: ''") }) {
         auto settings = parseSettings(text, "f");
         CHECK_MESSAGE(settings, (settings ? "" : settings.error().message));
     }
--- a/test/fuzz/FuzzTest.cpp
+++ b/test/fuzz/FuzzTest.cpp
@@ -160,7 +160,7 @@
     require(!handle || isToken(*handle, longestToken), "a handle can stand in a header");
     require(!place || isToken(*place, longestToken), "a place can stand in a path");
     (void)Dialect::orderAnswer(answer);
-    return Dialect::engineState(answer) || handle || place;
+    return Dialect::engineState(answer) || Dialect::engineReport(answer) || handle || place;
 }
 
 bool caller(const std::string& input)
