The address with another port, and an engine's room, are found in one place

ForwardRole wrote again what Settings had as withPort; it stands beside the other handling of addresses now (Endpoint). ReplicaTable looked up an engine's room twice for each replica at each choice, once for whether it is full and once for its cost; it is passed on.

--- a/src/connection/Endpoint.cpp
+++ b/src/connection/Endpoint.cpp
@@ -21,6 +21,11 @@
     return Tcp::endpoint(ip, static_cast<std::uint16_t>(std::stoul(port)));
 }
 
+std::string withPort(const std::string& address, std::uint32_t port)
+{
+    return port ? address.substr(0, address.rfind(':') + 1) + std::to_string(port) : address;
+}
+
 Result<std::string> listenOn(Tcp::acceptor& acceptor, const std::string& address)
 {
     auto endpoint = parseEndpoint(address);
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "connection/Endpoint.h"
 #include "connection/HttpServer.h"
 #include "connection/HttpText.h"
 #include "connection/PeerHub.h"
@@ -216,7 +217,7 @@
     {
         if (!m_settings.sidecarPort || engine.kind == UpstreamKind::Plain)
             return;
-        auto address = engine.address.substr(0, engine.address.rfind(':') + 1) + std::to_string(m_settings.sidecarPort);
+        auto address = withPort(engine.address, m_settings.sidecarPort);
         std::lock_guard lock(m_sidecarMutex);
         m_sidecars[engine.id] = address;
         m_hub.dial(address);
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -2,6 +2,7 @@
 
 #include "base/SettingsNode.h"
 #include "base/Units.h"
+#include "connection/Endpoint.h"
 
 #include <algorithm>
 #include <fstream>
@@ -197,11 +198,6 @@
         node.refuseUnknown();
     }
 
-    std::string withPort(const std::string& address, std::uint32_t port)
-    {
-        return port ? address.substr(0, address.rfind(':') + 1) + std::to_string(port) : address;
-    }
-
     void readAll(SettingsNode& root, Settings& settings)
     {
         root.required("role", settings.role, parseRole);
--- a/src/request/ReplicaTable.cpp
+++ b/src/request/ReplicaTable.cpp
@@ -26,11 +26,11 @@
 
 } // namespace
 
-double ReplicaTable::costOf(const ReplicaRegistry::Entry& entry, const Load& load, const Need& need) const
+double ReplicaTable::costOf(const ReplicaRegistry::Entry& entry, const Load& load, const EngineRooms::Room* room, const Need& need) const
 {
     const auto& announcement = entry.announcement;
     double cost = 0;
-    if (const auto* room = need.cacheTokens ? m_rooms.find(announcement.address) : nullptr) {
+    if (need.cacheTokens && room) {
         auto taken
             = need.kind == UpstreamKind::Prefill ? room->prefillBacklog : need.cacheTokens - std::min(need.cacheTokens, room->tokens);
         cost = static_cast<double>(taken) + need.tokens;
@@ -90,7 +90,7 @@
         // An engine whose room is not known looks as idle as this gateway keeps it, which is the least of what it does.
         bool isBlind = need.promptTokens && !room;
         // Gateways that see the same idle replicas must not all take the first: a spread below a tenth breaks ties.
-        double cost = costOf(entry, load, need) * std::uniform_real_distribution<double>(1, 1.1)(m_random);
+        double cost = costOf(entry, load, room, need) * std::uniform_real_distribution<double>(1, 1.1)(m_random);
         std::tuple rank(isDoubtful(entry, load, now), isBlind, cost);
         if (best && rank >= bestRank)
             continue;
--- a/src/request/ReplicaTable.h
+++ b/src/request/ReplicaTable.h
@@ -98,7 +98,7 @@
 
 private:
     [[nodiscard]] static bool serves(const Announcement&, const std::string& service, UpstreamKind);
-    [[nodiscard]] double costOf(const ReplicaRegistry::Entry&, const Load&, const Need&) const;
+    [[nodiscard]] double costOf(const ReplicaRegistry::Entry&, const Load&, const EngineRooms::Room*, const Need&) const;
     [[nodiscard]] bool isDoubtful(const ReplicaRegistry::Entry&, const Load&, Instant now) const;
 
     std::string m_zone;
