A gateway uses a bounded subset of the engines, and links to their sidecars alone

Beside it, addresses of engines that were lost without a word were dialled for ever. Change: EngineSubset chooses 12 prefill and 24 decode engines by rendezvous hashing, two thirds in the gateway's own zone; ForwardLogic links to these sidecars (LinkSidecar, LeaveSidecar), and leaves others 15 s after they are used no more. The role decides nothing of it any more. Ruled out: asking two or three sidecars for each request keeps 18,900 links or dials for each request; a broker in each zone is one more process to lose. Engines out of the subset are not asked while its own are full: all are as full then, and gateways would ask one after the other. Tests: EngineSubsetTest; the two of the gateway fail on the former code (180 links; 12 addresses dialled for good).

--- a/src/connection/PeerHub.cpp
+++ b/src/connection/PeerHub.cpp
@@ -52,10 +52,19 @@
     dialAfter(address, Duration::zero(), {});
 }
 
-void PeerHub::stopDialling(const std::string& address)
+void PeerHub::leave(const std::string& address)
 {
-    std::lock_guard lock(m_mutex);
-    m_dialled.erase(address);
+    std::shared_ptr<PeerLink> link;
+    {
+        std::lock_guard lock(m_mutex);
+        m_dialled.erase(address);
+        for (const auto& [peer, hello] : m_hellos) {
+            if (hello.name == address)
+                link = m_links.at(peer);
+        }
+    }
+    if (link)
+        link->close();
 }
 
 bool PeerHub::isLinkedByName(const std::string& name) const
--- a/src/connection/PeerHub.h
+++ b/src/connection/PeerHub.h
@@ -41,8 +41,8 @@
     /// Keeps a link to `address` up until `stop`. An address that is dialled already, or that a linked peer gives as its name,
     /// is not dialled again.
     void dial(const std::string& address);
-    /// Ends that; a link that is up stays until its peer closes it.
-    void stopDialling(const std::string& address);
+    /// Ends that, and closes the link that was dialled there.
+    void leave(const std::string& address);
     /// Sends if the peer is there; else the message is lost, as on a cut network.
     void send(PeerId, const Message&);
     /// Changes what later links are told of this process.
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -107,8 +107,8 @@
               runtime.timers(), [this](document::Effect& effect) { carryDocument(effect); }, document::Tick {}, randomIdentity())
         , m_driver(
               runtime.timers(), [this](forward::Effect& effect) { m_effects.push_back(std::move(effect)); }, forward::Tick {},
-              ForwardLogic::Settings {
-                  settings.zone, randomIdentity(), { settings.retries.ratio, settings.retries.slack, settings.retries.window } })
+              ForwardLogic::Settings { settings.zone, randomIdentity(),
+                  { settings.retries.ratio, settings.retries.slack, settings.retries.window }, settings.name })
     {
     }
 
@@ -194,10 +194,8 @@
             for (const auto& address : roster->addresses)
                 m_hub.dial(address);
         } else if (const auto* announced = std::get_if<Announced>(&message)) {
-            dialSidecar(announced->announcement);
             post(*announced);
         } else if (const auto* withdrawn = std::get_if<Withdrawn>(&message)) {
-            leaveSidecar(withdrawn->id);
             post(*withdrawn);
         } else if (const auto* room = std::get_if<EngineRoom>(&message)) {
             post(forward::RoomTold { room->address, { peer, room->tokens, room->prefillBacklog } });
@@ -212,31 +210,6 @@
         }
     }
 
-    /// The sidecar of an engine listens on its machine.
-    void dialSidecar(const Announcement& engine)
-    {
-        if (!m_settings.sidecarPort || engine.kind == UpstreamKind::Plain)
-            return;
-        auto address = withPort(engine.address, m_settings.sidecarPort);
-        std::lock_guard lock(m_sidecarMutex);
-        m_sidecars[engine.id] = address;
-        m_hub.dial(address);
-    }
-
-    /// Nobody answers at an address that is gone, and another engine may be given it.
-    void leaveSidecar(const std::string& engine)
-    {
-        std::lock_guard lock(m_sidecarMutex);
-        auto it = m_sidecars.find(engine);
-        if (it == m_sidecars.end())
-            return;
-        auto address = std::move(it->second);
-        m_sidecars.erase(it);
-        bool isShared = std::any_of(m_sidecars.begin(), m_sidecars.end(), [&address](const auto& item) { return item.second == address; });
-        if (!isShared)
-            m_hub.stopDialling(address);
-    }
-
     void carryDocument(document::Effect& effect)
     {
         if (auto* ask = std::get_if<document::Ask>(&effect))
@@ -426,6 +399,19 @@
 
     void carry(forward::ForgetReplica& forget) { m_pool.forget(forget.replica); }
 
+    /// The sidecar of an engine listens on its machine.
+    void carry(forward::LinkSidecar& link)
+    {
+        if (m_settings.sidecarPort)
+            m_hub.dial(withPort(link.engineAddress, m_settings.sidecarPort));
+    }
+
+    void carry(forward::LeaveSidecar& leave)
+    {
+        if (m_settings.sidecarPort)
+            m_hub.leave(withPort(leave.engineAddress, m_settings.sidecarPort));
+    }
+
     void carry(forward::ReportLoad& load)
     {
         for (const auto& peer : m_hub.peers()) {
@@ -535,8 +521,6 @@
     LogicDriver<ForwardLogic, forward::Event, forward::Effect> m_driver;
     std::unordered_map<RequestId, Exchange> m_exchanges; ///< Only on the strand.
     std::uint64_t m_lastSequence = 0;
-    std::mutex m_sidecarMutex; ///< Guards m_sidecars; the hub's lock is taken under it.
-    std::map<std::string, std::string> m_sidecars; ///< By engine id: where its sidecar listens.
     std::atomic<bool> m_isDraining = false;
     AdminServer m_adminServer; ///< Last: its threads look at everything above.
 };
--- /dev/null
+++ b/src/request/ForwardEngines.cpp
@@ -0,0 +1,47 @@
+/** \file
+ * The part of ForwardLogic that chooses which engines this gateway uses, and keeps links to the sidecars beside these.
+ */
+#include "request/ForwardLogic.h"
+
+namespace wrenhinge {
+
+using namespace forward;
+
+void ForwardLogic::chooseEnginesIfDue(Instant now)
+{
+    if (now - m_enginesChosenAt >= chooseEnginesEvery)
+        chooseEngines(now);
+}
+
+/// Only on news from controllers: while none is heard, all engines look silent, and those that were chosen stay.
+void ForwardLogic::chooseEngines(Instant now)
+{
+    m_enginesChosenAt = now;
+    m_replicas.subset().choose(m_replicas.registry(), now);
+    linkSidecars(now);
+}
+
+void ForwardLogic::linkSidecars(Instant now)
+{
+    std::set<std::string> used;
+    const auto& entries = m_replicas.registry().entries();
+    for (const auto& id : m_replicas.subset().ids())
+        used.insert(entries.at(id).announcement.address);
+    for (const auto& address : used) {
+        if (m_sidecarLinks.insert_or_assign(address, Instant::max()).second)
+            m_effects.push_back(LinkSidecar { address });
+    }
+    for (auto it = m_sidecarLinks.begin(); it != m_sidecarLinks.end();) {
+        auto& [address, until] = *it;
+        if (!used.contains(address) && until == Instant::max())
+            until = now + keepLinkFor;
+        if (until > now) {
+            ++it;
+            continue;
+        }
+        m_effects.push_back(LeaveSidecar { address });
+        it = m_sidecarLinks.erase(it);
+    }
+}
+
+} // namespace wrenhinge
--- a/src/request/ForwardEvents.h
+++ b/src/request/ForwardEvents.h
@@ -245,11 +245,19 @@
 struct SetLimits {
     CallerLimits limits;
 };
+/// Keep a link to the sidecar beside the engine with this address.
+struct LinkSidecar {
+    std::string engineAddress;
+};
+/// End that: the engine is used no more.
+struct LeaveSidecar {
+    std::string engineAddress;
+};
 /// Tell the controllers how busy this gateway keeps the engines.
 struct ReportLoad {
     EngineLoadReport report;
 };
 using Effect = std::variant<Send, CancelCall, TakePlace, Reserve, EndReservation, NotePrefill, DropPlace, FreePrompt, Reply, Refuse,
-    BeginStream, StreamBytes, EndStream, BreakStream, Finished, ForgetReplica, SetLimits, ReportLoad, Note>;
+    BeginStream, StreamBytes, EndStream, BreakStream, Finished, ForgetReplica, SetLimits, LinkSidecar, LeaveSidecar, ReportLoad, Note>;
 
 } // namespace wrenhinge::forward
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -42,7 +42,7 @@
 
 ForwardLogic::ForwardLogic(Settings settings)
     : m_settings(std::move(settings))
-    , m_replicas(m_settings.zone, m_settings.seed)
+    , m_replicas(m_settings.zone, m_settings.seed, m_settings.name)
     , m_budget(m_settings.budget)
     , m_random(m_settings.seed)
 {
@@ -104,6 +104,9 @@
         return;
     }
     bool isDraining = announcement.state == ReplicaState::Draining;
+    bool isEngine = announcement.kind != UpstreamKind::Plain;
+    if (isEngine && (isDraining || !m_replicas.subset().isFull(announcement.service, announcement.kind)))
+        chooseEngines(now);
     m_effects.push_back(Note { isDraining ? EventCode::UpstreamDraining : EventCode::UpstreamAnnounced, {},
         announcement.id + " of " + announcement.service + " at " + announcement.address });
 }
@@ -112,6 +115,7 @@
 {
     if (!m_replicas.registry().withdraw(event.run(), now))
         return;
+    chooseEngines(now);
     m_effects.push_back(ForgetReplica { event.run() });
     m_effects.push_back(Note { EventCode::UpstreamDraining, {}, toString(event.run()) + " has ended" });
 }
@@ -123,6 +127,7 @@
     m_replicas.registry().renew(event, now);
     m_replicas.registry().forgetOld(now);
     m_replicas.forgetEnded();
+    chooseEnginesIfDue(now);
 }
 
 void ForwardLogic::on(const StageChange& event, Instant now)
--- a/src/request/ForwardLogic.h
+++ b/src/request/ForwardLogic.h
@@ -36,6 +36,7 @@
         std::string zone;
         std::uint64_t seed = 1;
         RetryBudgetSettings budget;
+        std::string name {}; ///< Of this gateway; stays over restarts.
     };
 
     /// A document that no controller could confirm is used all the same after this long: a cut-off site serves on.
@@ -46,6 +47,11 @@
     static constexpr Duration holdForDocumentLimit = 500ms;
     /// How busy the engines are is told to the controllers this often: several times within a change of stage, which takes seconds.
     static constexpr Duration loadReportEvery = 1s;
+    /// The engines that are used are chosen anew this often, so that one that fell silent is followed by another.
+    static constexpr Duration chooseEnginesEvery = 1s;
+    /// An engine that is used no more keeps its link for this long: as long as a stream of 14 s that was admitted there may go on. Without
+    /// the link its sidecar would take what is reserved there for free, and would not hear how long the answer became.
+    static constexpr Duration keepLinkFor = 15s;
     /// The part of its share of a replica's connections that a gateway uses, since gateways come and go while the others still count
     /// with the former number, and a call that gives something back needs a connection too.
     static constexpr double usedConnections = 0.8;
@@ -92,6 +98,10 @@
     void on(const forward::Stop&, Instant);
     void on(const forward::Tick&, Instant);
 
+    // Which engines are used, and the links to their sidecars (ForwardEngines.cpp).
+    void chooseEngines(Instant);
+    void chooseEnginesIfDue(Instant);
+    void linkSidecars(Instant);
     void holdForDocument(Flow&, Instant);
     void beginHeld(Instant);
     void begin(Flow&, Instant);
@@ -151,6 +161,8 @@
     ReplicaTable m_replicas;
     EngineLoad m_engineLoad;
     Instant m_reportAt = Instant::max(); ///< When to tell the controllers of it.
+    Instant m_enginesChosenAt; ///< The last time.
+    std::map<std::string, Instant> m_sidecarLinks; ///< By the engine's address: until when; `Instant::max()` while it is used.
     SharedRetryBudget m_budget;
     std::mt19937_64 m_random;
     std::shared_ptr<const RouteTable> m_table;
--- a/src/request/ReplicaTable.cpp
+++ b/src/request/ReplicaTable.cpp
@@ -76,10 +76,16 @@
 std::optional<ReplicaTable::Choice> ReplicaTable::choose(const Need& need, const std::set<ReplicaRun>& tried, Instant now)
 {
     const ReplicaRegistry::Entry* best = nullptr;
-    std::tuple<bool, bool, double> bestRank;
+    std::tuple<bool, bool, bool, double> bestRank;
     for (const auto& [id, entry] : m_registry.entries()) {
+        if (!serves(entry.announcement, need.service, need.kind) || entry.isChanging(now))
+            continue;
+        // While all engines of the subset are full, the others are as full as these, and their sidecars would have to be asked one by one.
+        bool isOutside = !m_subset.contains(entry.announcement);
+        if (isOutside && (need.skipsFull || (best && !std::get<0>(bestRank))))
+            continue;
         auto run = entry.announcement.run();
-        if (!serves(entry.announcement, need.service, need.kind) || tried.contains(run) || entry.isChanging(now))
+        if (tried.contains(run))
             continue;
         const auto& load = m_loads[run];
         bool isAtLimit = need.maxCalls && load.calls >= need.maxCalls;
@@ -91,7 +97,7 @@
         bool isBlind = need.promptTokens && !room;
         // Gateways that see the same idle replicas must not all take the first: a spread below a tenth breaks ties.
         double cost = costOf(entry, load, room, need) * std::uniform_real_distribution<double>(1, 1.1)(m_random);
-        std::tuple rank(isDoubtful(entry, load, now), isBlind, cost);
+        std::tuple rank(isOutside, isDoubtful(entry, load, now), isBlind, cost);
         if (best && rank >= bestRank)
             continue;
         best = &entry;
--- a/src/request/ReplicaTable.h
+++ b/src/request/ReplicaTable.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "request/EngineRooms.h"
+#include "request/EngineSubset.h"
 #include "request/ReplicaRegistry.h"
 
 #include <map>
@@ -60,9 +61,11 @@
         Instant fullUntil; ///< It refused to set a place aside, and is not asked again before.
     };
 
-    ReplicaTable(std::string zone, std::uint64_t seed)
+    /// \param gateway the name of this gateway, which stays over restarts.
+    ReplicaTable(std::string zone, std::uint64_t seed, std::string gateway = {})
         : m_zone(std::move(zone))
         , m_random(seed)
+        , m_subset(std::move(gateway), m_zone)
     {
     }
 
@@ -70,9 +73,11 @@
     [[nodiscard]] const ReplicaRegistry& registry() const { return m_registry; }
     [[nodiscard]] const std::map<ReplicaRun, Load>& loads() const { return m_loads; }
 
-    /// The replica to send to, other than those in `tried`. Replicas that were not heard of lately, or are avoided, are taken
-    /// only if there are no others.
+    /// The replica to send to, other than those in `tried`. Engines out of the subset, replicas that were not heard of lately, and those
+    /// that are avoided, are taken only if there are no others.
     std::optional<Choice> choose(const Need&, const std::set<ReplicaRun>& tried, Instant now);
+    /// The engines that this gateway uses, out of all that it knows.
+    EngineSubset& subset() { return m_subset; }
     /// Whether any replica of this kind takes work, however busy it is.
     [[nodiscard]] bool hasReady(const std::string& service, UpstreamKind) const;
     /// The availability zone of a replica's run, or empty if that is not known or has ended.
@@ -106,6 +111,7 @@
     ReplicaRegistry m_registry;
     std::map<ReplicaRun, Load> m_loads;
     EngineRooms m_rooms;
+    EngineSubset m_subset;
     Instant m_controllerHeardAt;
 };
 
