A link between two processes takes 20 KB of memory, not 80

Change: it reads 4 KB at a time. Ruled out: one buffer for all links with a wait before each read: it costs a system call a read. Test: LinkTest "a link takes little memory of its own".

--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -41,6 +41,9 @@
     /// A peer that leaves this much unread is slower than what it is told, or does not read; its link is given up, and what it must know
     /// is told anew over the next one. The largest messages are parts of 64 KB and entries of the log of up to a megabyte.
     static constexpr std::size_t queueLimit = 8u << 20;
+    /// What is read at a time. Most messages are some hundred bytes; a part of 64 KB of a document takes 16 reads, a few times a day. With
+    /// 64 KB a link takes 80 KB of memory at either end instead of 20, nearly all unused: 2.8 MB more at a gateway with 46 links.
+    static constexpr std::size_t bytesPerRead = 4096;
     /// A longer message is a protocol error.
     static constexpr std::size_t messageLimit = 64u << 20;
     /// The first message, a Hello, is some hundred bytes. Whoever has not said who it is may not fill our memory.
@@ -84,7 +87,7 @@
     std::string m_inbox; ///< Message bytes that are not a whole message yet.
     std::string m_wire; ///< HTTP/2 bytes being written.
     std::atomic<std::size_t> m_queuedBytes = 0;
-    std::array<char, 65536> m_readBuffer {};
+    std::array<char, bytesPerRead> m_readBuffer {};
     boost::asio::steady_timer m_silenceTimer;
     std::chrono::steady_clock::time_point m_lastHeard;
     bool m_isIntroduced = false; ///< A Hello has come.
--- a/test/correctness/LinkTest.cpp
+++ b/test/correctness/LinkTest.cpp
@@ -160,3 +160,10 @@
     CHECK(isClosed);
     CHECK(most <= PeerLink::queueLimit + (2u << 20));
 }
+
+TEST_CASE("a link takes little memory of its own")
+{
+    // Symptom: memory of processes that do nothing grows with their links. Sequence: a gateway links to 46 processes. Cause: a link kept
+    // 64 KB to read into: it took 65,992 bytes before and 4,552 after, and with its HTTP/2 session 80 and 20 KB.
+    CHECK(sizeof(PeerLink) <= 8192);
+}
