--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -65,9 +65,9 @@
         return faultOfId(change.id);
     }
 
-    Fault check(const RegistryPulse& pulse)
+    Fault check(const RegistryHeartbeat& heartbeat)
     {
-        for (const auto& [id, age] : pulse.ages) {
+        for (const auto& [id, age] : heartbeat.ages) {
             if (auto fault = faultOfAge(age))
                 return fault;
         }
--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -483,7 +483,7 @@
 /// Renews the replicas' runs, and says how many gateways share the retry budget. It goes over every link once a second, so it names only
 /// the runs that were not heard of lately; whoever knows the same runs, by the digest, renews all others. The starts are told as their
 /// distance from the earliest of them: 5 bytes a replica, and not 10, for replicas that started within 49 days of each other.
-struct RegistryPulse {
+struct RegistryHeartbeat {
     std::map<std::string, Duration> ages; ///< By id; with digest zero, all that the sender knows.
     std::uint32_t gateways = 0;
     ReplicaStart earliest {};
@@ -621,7 +621,7 @@
 
 using Message = std::variant<Hello, Announce, SlotGrant, Refused, PrefillDone, ResponseHead, ResponseData, ResponseEnd, Failed, SealReply,
     SlotRequest, PrefillRequest, DecodeRequest, Dispatch, Cancel, Seal, Propose, ProposeReply, Watch, ConfigDelta, InForce, VoteRequest,
-    VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, Announced, Withdrawn, RegistryPulse, DocumentOffer,
+    VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, Announced, Withdrawn, RegistryHeartbeat, DocumentOffer,
     ControllerRoster, ReadIndex, ReadIndexReply, EngineLoadReport, StageChange, DocumentRequest, DocumentPart, ReservationRequest,
     ReservationReply, ReservationEnd, EngineRoom, PrefillNotice, RegistryRequest, RegistryList>;
 
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -201,8 +201,8 @@
             post(forward::RoomTold { room->address, { peer, room->tokens, room->prefillBacklog } });
         } else if (const auto* reply = std::get_if<ReservationReply>(&message)) {
             post(forward::ReservationAnswered { reply->request, reply->attempt, reply->isGranted, reply->room });
-        } else if (auto* pulse = std::get_if<RegistryPulse>(&message)) {
-            post(forward::RegistryTold { peer, std::move(*pulse) });
+        } else if (auto* heartbeat = std::get_if<RegistryHeartbeat>(&message)) {
+            post(forward::RegistryTold { peer, std::move(*heartbeat) });
         } else if (auto* list = std::get_if<RegistryList>(&message)) {
             post(forward::RegistryListed { peer, std::move(*list) });
         } else if (const auto* change = std::get_if<StageChange>(&message)) {
--- a/src/process/Registrar.cpp
+++ b/src/process/Registrar.cpp
@@ -7,7 +7,7 @@
 bool isForRegistrar(const Message& message)
 {
     return std::holds_alternative<Announced>(message) || std::holds_alternative<Withdrawn>(message)
-        || std::holds_alternative<RegistryPulse>(message) || std::holds_alternative<StageChange>(message)
+        || std::holds_alternative<RegistryHeartbeat>(message) || std::holds_alternative<StageChange>(message)
         || std::holds_alternative<RegistryRequest>(message) || std::holds_alternative<RegistryList>(message);
 }
 
@@ -24,7 +24,7 @@
 {
     for (const auto& announcement : remembered)
         m_registry.announce(announcement, rememberedAge, currentInstant());
-    pulse();
+    sendHeartbeats();
 }
 
 void Registrar::announce(const Announcement& announcement) { take(announcement, Duration::zero()); }
@@ -58,9 +58,9 @@
             takeWithdrawal(withdrawn->run());
         } else if (const auto* change = std::get_if<StageChange>(&message)) {
             changeStage(*change);
-        } else if (const auto* pulse = std::get_if<RegistryPulse>(&message)) {
-            m_registry.renew(*pulse, currentInstant());
-            m_follower.told(peer, pulse->digest, pulse->known);
+        } else if (const auto* heartbeat = std::get_if<RegistryHeartbeat>(&message)) {
+            m_registry.renew(*heartbeat, currentInstant());
+            m_follower.told(peer, heartbeat->digest, heartbeat->known);
             askIfNeeded();
         } else if (std::holds_alternative<RegistryRequest>(message)) {
             m_hub.send(peer, m_registry.list(currentInstant()));
@@ -172,23 +172,23 @@
     }
 }
 
-RegistryPulse Registrar::heartbeat()
+RegistryHeartbeat Registrar::heartbeat()
 {
-    auto message = m_registry.pulse(currentInstant());
+    auto message = m_registry.heartbeat(currentInstant());
     for (const auto& peer : m_hub.peers())
         message.gateways += peer.role == Role::Gateway ? 1 : 0;
     return message;
 }
 
-void Registrar::pulse()
+void Registrar::sendHeartbeats()
 {
     m_registry.forgetOld(currentInstant());
     noteChange();
     tellAll(heartbeat());
-    m_timer.expires_after(pulseEvery);
+    m_timer.expires_after(heartbeatEvery);
     m_timer.async_wait([this](ErrorCode ec) {
         if (!ec)
-            pulse();
+            sendHeartbeats();
     });
 }
 
--- a/src/process/Registrar.h
+++ b/src/process/Registrar.h
@@ -23,7 +23,7 @@
 class Registrar {
 public:
     /// Renewals are told this often; a gateway doubts a replica after several times that.
-    static constexpr Duration pulseEvery = 1s;
+    static constexpr Duration heartbeatEvery = 1s;
 
     /// A replica that is remembered counts as heard of this long ago: it is used at once, and doubted 2 s later unless it announces
     /// itself, which takes one interval of 1.2 s and some hundred ms.
@@ -60,8 +60,8 @@
     void takeList(PeerId, const RegistryList&);
     void tellAll(const Message&);
     void noteChange();
-    [[nodiscard]] RegistryPulse heartbeat();
-    void pulse();
+    [[nodiscard]] RegistryHeartbeat heartbeat();
+    void sendHeartbeats();
     void askIfNeeded();
 
     Strand m_strand;
--- a/src/request/ForwardEngines.cpp
+++ b/src/request/ForwardEngines.cpp
@@ -11,8 +11,8 @@
 
 void ForwardLogic::on(const RegistryTold& event, Instant now)
 {
-    on(event.pulse, now);
-    m_follower.told(event.controller, event.pulse.digest, event.pulse.known);
+    on(event.heartbeat, now);
+    m_follower.told(event.controller, event.heartbeat.digest, event.heartbeat.known);
     askForRegistry(now);
 }
 
--- a/src/request/ForwardEvents.h
+++ b/src/request/ForwardEvents.h
@@ -97,7 +97,7 @@
 /// A controller's heartbeat.
 struct RegistryTold {
     PeerId controller;
-    RegistryPulse pulse;
+    RegistryHeartbeat heartbeat;
 };
 /// A controller's answer to AskRegistry.
 struct RegistryListed {
@@ -132,12 +132,12 @@
 };
 struct Tick { };
 using wrenhinge::Announced;
-using wrenhinge::RegistryPulse;
+using wrenhinge::RegistryHeartbeat;
 using wrenhinge::StageChange;
 using wrenhinge::Withdrawn;
 using Event = std::variant<Submit, CallerGone, AnswerHead, AnswerBody, AnswerEnd, CallFailed, PlaceTaken, PlaceRefused, ReservationAnswered,
     RoomTold, PeerGone, RegistryTold, RegistryListed, PromptRead, PromptNotRead, TakeDocument, ConfirmDocument, Announced, Withdrawn,
-    RegistryPulse, StageChange, Stop, Tick>;
+    RegistryHeartbeat, StageChange, Stop, Tick>;
 
 /// A slot and memory that a decode replica has set aside.
 struct Place {
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -135,7 +135,7 @@
     return true;
 }
 
-void ForwardLogic::on(const RegistryPulse& event, Instant now)
+void ForwardLogic::on(const RegistryHeartbeat& event, Instant now)
 {
     m_replicas.heardController(now);
     m_budget.setGateways(event.gateways, now);
--- a/src/request/ForwardLogic.h
+++ b/src/request/ForwardLogic.h
@@ -96,7 +96,7 @@
     void on(const forward::ConfirmDocument&, Instant);
     void on(const Announced&, Instant);
     void on(const Withdrawn&, Instant);
-    void on(const RegistryPulse&, Instant);
+    void on(const RegistryHeartbeat&, Instant);
     void on(const StageChange&, Instant);
     void on(const forward::Stop&, Instant);
     void on(const forward::Tick&, Instant);
--- a/src/request/ReplicaRegistry.cpp
+++ b/src/request/ReplicaRegistry.cpp
@@ -99,39 +99,39 @@
         it->second.heardAt = std::max(it->second.heardAt, now - age);
 }
 
-void ReplicaRegistry::renew(const RegistryPulse& pulse, Instant now)
+void ReplicaRegistry::renew(const RegistryHeartbeat& heartbeat, Instant now)
 {
-    if (pulse.digest && pulse.digest == digest()) {
+    if (heartbeat.digest && heartbeat.digest == digest()) {
         for (auto& [id, entry] : m_entries) {
-            if (!pulse.ages.contains(id))
+            if (!heartbeat.ages.contains(id))
                 entry.heardAt = std::max(entry.heardAt, now - usualAge);
         }
     }
-    auto distance = pulse.startedAfter.begin();
-    for (const auto& [id, age] : pulse.ages) {
+    auto distance = heartbeat.startedAfter.begin();
+    for (const auto& [id, age] : heartbeat.ages) {
         // A process of a release without starts names none, and knows none either.
-        auto after = distance == pulse.startedAfter.end() ? 0 : *distance++;
-        renew({ id, ReplicaStart(pulse.earliest.value() + after) }, age, now);
+        auto after = distance == heartbeat.startedAfter.end() ? 0 : *distance++;
+        renew({ id, ReplicaStart(heartbeat.earliest.value() + after) }, age, now);
     }
 }
 
-RegistryPulse ReplicaRegistry::pulse(Instant now) const
+RegistryHeartbeat ReplicaRegistry::heartbeat(Instant now) const
 {
-    RegistryPulse pulse;
-    pulse.digest = digest();
-    pulse.known = static_cast<std::uint32_t>(m_entries.size());
+    RegistryHeartbeat heartbeat;
+    heartbeat.digest = digest();
+    heartbeat.known = static_cast<std::uint32_t>(m_entries.size());
     auto isEarlier = [](const auto& a, const auto& b) { return a.second.announcement.start < b.second.announcement.start; };
     auto first = std::min_element(m_entries.begin(), m_entries.end(), isEarlier);
     if (first == m_entries.end())
-        return pulse;
-    pulse.earliest = first->second.announcement.start;
+        return heartbeat;
+    heartbeat.earliest = first->second.announcement.start;
     for (const auto& [id, entry] : m_entries) {
         if (now - entry.heardAt <= freshFor)
             continue;
-        pulse.ages[id] = now - entry.heardAt;
-        pulse.startedAfter.push_back(entry.announcement.start.value() - pulse.earliest.value());
+        heartbeat.ages[id] = now - entry.heardAt;
+        heartbeat.startedAfter.push_back(entry.announcement.start.value() - heartbeat.earliest.value());
     }
-    return pulse;
+    return heartbeat;
 }
 
 RegistryList ReplicaRegistry::list(Instant now) const
--- a/src/request/ReplicaRegistry.h
+++ b/src/request/ReplicaRegistry.h
@@ -75,9 +75,9 @@
     /// Somebody heard of the run `age` ago.
     void renew(const ReplicaRun&, Duration age, Instant now);
     /// Renews the runs that another process has heard of.
-    void renew(const RegistryPulse&, Instant now);
+    void renew(const RegistryHeartbeat&, Instant now);
     /// What renews all that is known here at a process with the same digest.
-    [[nodiscard]] RegistryPulse pulse(Instant now) const;
+    [[nodiscard]] RegistryHeartbeat heartbeat(Instant now) const;
     /// All that another process needs to know the same.
     [[nodiscard]] RegistryList list(Instant now) const;
     /// The same at any two processes that know the same runs, addresses, states and changes of stage; never zero.
--- a/test/correctness/DoorTest.cpp
+++ b/test/correctness/DoorTest.cpp
@@ -155,7 +155,7 @@
     wrong = replica("a");
     wrong.sequence = ~0ULL;
     CHECK(names(Announced { wrong, {} }, "sequence"));
-    CHECK(names(RegistryPulse { { { "a", -5s } }, 1 }, "age"));
+    CHECK(names(RegistryHeartbeat { { { "a", -5s } }, 1 }, "age"));
     CHECK(names(EngineLoadReport { { { "app", { NAN, 0, {} } } } }, "services"));
     CHECK(names(EngineLoadReport { { { "app", { 0, INFINITY, {} } } } }, "services"));
     CHECK(names(StageChange { "a", UpstreamKind::Decode, -1s }, "lasts"));
--- a/test/correctness/EngineSubsetTest.cpp
+++ b/test/correctness/EngineSubsetTest.cpp
@@ -160,7 +160,7 @@
 /// A gateway that hears of all engines, and the sidecars that it wants to be linked to.
 class Gateway {
 public:
-    Gateway() { post(RegistryPulse { {}, 1 }); }
+    Gateway() { post(RegistryHeartbeat { {}, 1 }); }
 
     void post(const Event& event)
     {
@@ -176,13 +176,13 @@
     void second(int engines)
     {
         now += 1s;
-        RegistryPulse pulse;
+        RegistryHeartbeat heartbeat;
         for (int n = 0; n < engines; ++n) {
-            pulse.ages[engine(n, kindOf(n)).id] = Duration::zero();
-            pulse.startedAfter.push_back(0);
+            heartbeat.ages[engine(n, kindOf(n)).id] = Duration::zero();
+            heartbeat.startedAfter.push_back(0);
         }
-        pulse.gateways = 1;
-        post(pulse);
+        heartbeat.gateways = 1;
+        post(heartbeat);
     }
 
     Instant now = start;
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -56,7 +56,7 @@
     Bench& serve()
     {
         post(TakeDocument { document(1), true });
-        post(RegistryPulse { {}, 1 });
+        post(RegistryHeartbeat { {}, 1 });
         return *this;
     }
 
@@ -503,7 +503,7 @@
     both.services[0].isEngine = true;
     both.services[0].engine = { 64, 60000, 0s, 500ms, 0s };
     bench.post(TakeDocument { both, true });
-    bench.post(RegistryPulse { {}, 1 });
+    bench.post(RegistryHeartbeat { {}, 1 });
     bench.replica("r1");
     RequestId id { PeerId(1), 77 };
     Ask ask;
@@ -669,7 +669,7 @@
     auto limited = document(1);
     limited.services[0].maxConnections = 10;
     bench.post(TakeDocument { limited, true });
-    bench.post(RegistryPulse { {}, 4 });
+    bench.post(RegistryHeartbeat { {}, 4 });
     bench.replica("r1").replica("r2");
     std::map<std::string, int> calls;
     for (int i = 0; i < 4; ++i) {
@@ -682,11 +682,11 @@
     CHECK(bench.only<Refuse>().error.code == ResultCode::Overloaded);
     CHECK(bench.only<Refuse>().error.retryAfter);
     // Fewer gateways, larger shares, once no others can be left that go by the former number.
-    bench.post(RegistryPulse { {}, 1 });
+    bench.post(RegistryHeartbeat { {}, 1 });
     bench.ask("/once/x");
     CHECK(bench.did<Send>().empty());
     bench.now += 11s;
-    bench.post(RegistryPulse { {}, 1 });
+    bench.post(RegistryHeartbeat { {}, 1 });
     bench.ask("/once/x");
     CHECK(bench.did<Send>().size() == 1);
 }
--- a/test/correctness/RegistryTest.cpp
+++ b/test/correctness/RegistryTest.cpp
@@ -58,12 +58,12 @@
     // controller tells each link the age of each replica once a second. Cause: what has not changed was told again.
     auto few = registryOf(10);
     auto many = registryOf(10000);
-    auto bytes = [](const ReplicaRegistry& registry) { return encode(registry.pulse(start + 1s)).size(); };
+    auto bytes = [](const ReplicaRegistry& registry) { return encode(registry.heartbeat(start + 1s)).size(); };
     CHECK(bytes(many) <= bytes(few) + 8);
     many.renew({ "i-7", {} }, 0s, start + 5s);
-    auto pulse = many.pulse(start + 5s);
-    CHECK(pulse.ages.size() == 9999);
-    CHECK_FALSE(pulse.ages.contains("i-7"));
+    auto heartbeat = many.heartbeat(start + 5s);
+    CHECK(heartbeat.ages.size() == 9999);
+    CHECK_FALSE(heartbeat.ages.contains("i-7"));
 }
 
 TEST_CASE("who knows the same replicas renews all that a heartbeat does not name")
@@ -74,7 +74,7 @@
         auto now = start + second * 1s;
         for (int i = 1; i < 20; ++i)
             sender.announce(replica(i, static_cast<std::uint64_t>(second) + 1), 0s, now);
-        receiver.renew(sender.pulse(now), now);
+        receiver.renew(sender.heartbeat(now), now);
         for (int i = 1; i < 20; ++i)
             CHECK_FALSE(receiver.entries().at("i-" + std::to_string(i)).isOverdue(now));
     }
@@ -89,7 +89,7 @@
     auto receiver = registryOf(2);
     for (auto now = start; now < start + 20s; now += 1s) {
         sender.announce(replica(1, static_cast<std::uint64_t>(now.time_since_epoch().count())), 0s, now);
-        receiver.renew(sender.pulse(now), now);
+        receiver.renew(sender.heartbeat(now), now);
         if (sender.entries().at("i-0").isSilent(now - 1s))
             CHECK(receiver.entries().at("i-0").isSilent(now));
     }
@@ -103,9 +103,9 @@
     auto receiver = registryOf(3);
     sender.announce(replica(0, 1, ReplicaStart(5)), 0s, start + 3s);
     sender.renew({ "i-1", {} }, 0s, start + 10s);
-    auto pulse = sender.pulse(start + 10s);
-    CHECK(pulse.digest != receiver.digest());
-    receiver.renew(pulse, start + 10s);
+    auto heartbeat = sender.heartbeat(start + 10s);
+    CHECK(heartbeat.digest != receiver.digest());
+    receiver.renew(heartbeat, start + 10s);
     CHECK((receiver.entries().at("i-0").heardAt == start));
     CHECK((receiver.entries().at("i-1").heardAt == start));
     CHECK((receiver.entries().at("i-2").heardAt == start));
@@ -114,7 +114,7 @@
 TEST_CASE("a heartbeat of a release that sends no digest renews what it names, and nothing else")
 {
     auto receiver = registryOf(2);
-    receiver.renew(RegistryPulse { { { "i-0", 0s } }, 1, {}, { 0 } }, start + 5s);
+    receiver.renew(RegistryHeartbeat { { { "i-0", 0s } }, 1, {}, { 0 } }, start + 5s);
     CHECK((receiver.entries().at("i-0").heardAt == start + 5s));
     CHECK((receiver.entries().at("i-1").heardAt == start));
 }
@@ -221,12 +221,12 @@
     };
     std::vector<PeerId> all;
     for (std::uint64_t n = 1; n <= 10; ++n) {
-        for (auto id : asked(gateway.step(forward::RegistryTold { PeerId(n), known.pulse(start) }, start)))
+        for (auto id : asked(gateway.step(forward::RegistryTold { PeerId(n), known.heartbeat(start) }, start)))
             all.push_back(id);
     }
     REQUIRE(all.size() == 1);
     CHECK(asked(gateway.step(forward::RegistryListed { all.front(), known.list(start) }, start + 50ms)).empty());
     CHECK(gateway.replicas().registry().digest() == known.digest());
     for (std::uint64_t n = 1; n <= 10; ++n)
-        CHECK(asked(gateway.step(forward::RegistryTold { PeerId(n), known.pulse(start + 1s) }, start + 1s)).empty());
+        CHECK(asked(gateway.step(forward::RegistryTold { PeerId(n), known.heartbeat(start + 1s) }, start + 1s)).empty());
 }
--- a/test/correctness/RunTest.cpp
+++ b/test/correctness/RunTest.cpp
@@ -213,7 +213,7 @@
     CHECK(!registry.entries().at("a").isChanging(start + 1s));
 }
 
-TEST_CASE("a pulse renews the runs that it names, also over a link, and costs few bytes more for that")
+TEST_CASE("a heartbeat renews the runs that it names, also over a link, and costs few bytes more for that")
 {
     // Symptom: a run that has ended looks alive, or its successor, which crashed, does. Sequence: one controller has heard of the newer
     // run, the other one is cut off and renews what it knows. Cause: renewals named the id.
@@ -225,23 +225,23 @@
     auto now = start + 10s;
     // Two seconds ago: a run that was heard of just now is not named, and renewed by the digest (RegistryTest).
     newer.renew({ "a", second }, 2s, now);
-    auto bytes = encode(newer.pulse(now));
+    auto bytes = encode(newer.heartbeat(now));
     auto received = decode(bytes);
     REQUIRE(received);
-    const auto& pulse = std::get<RegistryPulse>(*received);
+    const auto& heartbeat = std::get<RegistryHeartbeat>(*received);
 
     ReplicaRegistry former;
     former.announce(announcement(first, 40), 0s, start);
-    former.renew(pulse, now);
+    former.renew(heartbeat, now);
     CHECK((former.entries().at("a").heardAt == start));
     ReplicaRegistry same;
     same.announce(announcement(second, 1), 0s, start);
     same.announce(announcement(ReplicaStart(first.value() + 7000), 1, ReplicaState::Ready, "i-10000007"), 0s, start);
-    same.renew(pulse, now);
+    same.renew(heartbeat, now);
     CHECK((same.entries().at("a").heardAt == now - 2s));
     CHECK((same.entries().at("i-10000007").heardAt == start));
 
-    auto without = pulse;
+    auto without = heartbeat;
     without.startedAfter.clear();
     without.earliest = unsaid;
     CHECK(bytes.size() - encode(without).size() <= 101 * 5 + 12);
@@ -252,7 +252,7 @@
     ReplicaRegistry registry;
     CHECK(registry.announce(announcement(unsaid, 3), 0s, start) == Change::Changed);
     CHECK(registry.announce(announcement(unsaid, 2), 0s, start) == Change::None);
-    registry.renew(RegistryPulse { { { "a", 0s } }, 1 }, start + 5s);
+    registry.renew(RegistryHeartbeat { { { "a", 0s } }, 1 }, start + 5s);
     CHECK((registry.entries().at("a").heardAt == start + 5s));
     CHECK(registry.announce(announcement(first, 1), 0s, start) == Change::Restarted);
     CHECK(registry.announce(announcement(unsaid, 9), 0s, start) == Change::None);
--- a/test/fuzz/FuzzTest.cpp
+++ b/test/fuzz/FuzzTest.cpp
@@ -252,7 +252,7 @@
         { { 3, 3, ConfigCommand { 1, "id", "me", { { "a", "b" } }, { "c" } } }, { 3, 4, FenceCommand { "u", "o" } },
             { 3, 5, DocumentCommand { 7, "{}", 0, {} } }, { 3, 6, DocumentCommand { 8, "", 7, changeBetween("{}", "{ }") } },
             { 3, 7, MembersCommand { { "x", "y" } } } } };
-    std::vector<Message> list { hello, Announced { a, 1s }, Withdrawn { "i-1" }, RegistryPulse { { { "i-1", 1s } }, 3 }, append,
+    std::vector<Message> list { hello, Announced { a, 1s }, Withdrawn { "i-1" }, RegistryHeartbeat { { { "i-1", 1s } }, 3 }, append,
         AppendReply { 3, true, 4, 9, DiskId(5) }, ProposeReply {}, Propose { 1, ReplaceDiskCommand { "c", DiskId(4) } },
         VoteRequest { 1, 2, 3, true, DiskId(4) }, SnapshotChunk { 1, 2, 3, 0, "bytes", true }, DocumentOffer { 7, true },
         DocumentRequest { 7, 6, 0 }, DocumentPart { 7, 6, 0, 9, "bytes" }, ControllerRoster { { "10.0.0.1:7" } },
--- a/test/model/runs.pml
+++ b/test/model/runs.pml
@@ -2,14 +2,14 @@
  *
  * The replica starts up to three times under one id. Each run announces itself up to twice, its sequence counted anew, and may
  * withdraw itself before it ends. What was said may reach either process at any later time, again, and in any order, also after
- * the run has ended. The processes tell each other what they know, and renew by pulses that name a run.
+ * the run has ended. The processes tell each other what they know, and renew by heartbeats that name a run.
  *
  * Invariants: neither process goes back from a newer run to an older one (wentBack), nor believes again in a run that it knows
- * to have ended (revived); a withdrawal takes no later run away (lostNewer); a pulse renews no other run than its own
+ * to have ended (revived); a withdrawal takes no later run away (lostNewer); a heartbeat renews no other run than its own
  * (renewedOther); and two that have told each other everything believe the same (disagree).
  *
  * Switches: NO_START (announcements and withdrawals are compared without the starts, by the sequence alone), WITHDRAW_ANY (a
- * withdrawal ends whichever run is known), FORGET_ENDED (a withdrawal leaves no trace), PULSE_BY_ID (a pulse renews whichever run
+ * withdrawal ends whichever run is known), FORGET_ENDED (a withdrawal leaves no trace), HEARTBEAT_BY_ID (a heartbeat renews whichever run
  * is known).
  */
 #define N 2                 /* processes */
@@ -105,12 +105,12 @@
         :: said[r] >= 2 -> s = 2; announce(me, r, s)
         :: else -> skip
         fi; me = 0; r = 0; s = 0 }
-    /* A pulse that left one process when it knew run `r` arrives at the other, at once or late. */
+    /* A heartbeat that left one process when it knew run `r` arrives at the other, at once or late. */
     :: atomic { newest > 0 ->
         if :: me = 0 :: me = 1 fi;
         if :: r = 1 :: r = 2 :: r = 3 fi;
         if
-#ifdef PULSE_BY_ID
+#ifdef HEARTBEAT_BY_ID
         :: said[r] > 0 && start[me] > 0 ->
 #else
         :: said[r] > 0 && start[me] == r ->
