The digest of replicas is worked out anew only after a change; a gateway's page shows how many engines it uses

Cause: what is forgotten is looked for with each controller's heartbeat, and each time the digest was thrown away: 2.3 ms for 10,000 replicas (70 us for 185), sixteen times a second at the size to design for, which is more than the 3.4% of a core that control may take.

--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -457,6 +457,7 @@
         m_driver.inspect([this](const ForwardLogic& logic) {
             m_metrics.setGauge("wrenhinge_in_progress", static_cast<double>(logic.requests()));
             m_metrics.setGauge("wrenhinge_log_lines_left_out", static_cast<double>(m_runtime.log().linesLeftOut()));
+            m_metrics.setGauge("wrenhinge_engines_used", static_cast<double>(logic.replicas().subset().ids().size()));
             m_metrics.setGauge("wrenhinge_document_version", static_cast<double>(logic.documentVersion()));
         });
         return { 200, "text/plain; version=0.0.4", m_metrics.text() + m_runtime.refusals().metrics() };
@@ -471,6 +472,7 @@
             json["in_progress"] = logic.requests();
             json["serving"] = logic.isServing(now);
             json["document_version"] = logic.documentVersion();
+            json["engines_used"] = logic.replicas().subset().ids().size();
             json["retry_budget_left"] = logic.retryBudget(now);
         });
         return json;
--- a/src/request/ReplicaRegistry.cpp
+++ b/src/request/ReplicaRegistry.cpp
@@ -172,13 +172,17 @@
 
 void ReplicaRegistry::forgetOld(Instant now)
 {
-    noteChange();
+    // The digest of 10,000 replicas takes 2.3 ms, and this is called with each heartbeat of each controller.
+    bool hasChanged = std::erase_if(m_entries, [now](const auto& item) { return item.second.isOld(now); }) > 0;
     // A change that was not carried out is over everywhere, or the digests would differ from that of a process that started after it.
     for (auto& [id, entry] : m_entries) {
-        if (!entry.isChanging(now))
+        bool isOver = entry.changesTo && !entry.isChanging(now);
+        if (isOver)
             entry.changesTo.reset();
+        hasChanged = hasChanged || isOver;
     }
-    std::erase_if(m_entries, [now](const auto& item) { return item.second.isOld(now); });
+    if (hasChanged)
+        noteChange();
     std::erase_if(m_withdrawn, [now](const auto& item) { return item.second.isOld(now); });
 }
 
--- a/src/request/ReplicaTable.cpp
+++ b/src/request/ReplicaTable.cpp
@@ -82,7 +82,8 @@
             continue;
         // While all engines of the subset are full, the others are as full as these, and their sidecars would have to be asked one by one.
         bool isOutside = !m_subset.contains(entry.announcement);
-        if (isOutside && (need.skipsFull || (best && !std::get<0>(bestRank))))
+        bool hasInside = best && !std::get<0>(bestRank);
+        if (isOutside && (need.skipsFull || hasInside))
             continue;
         auto run = entry.announcement.run();
         if (tried.contains(run))
--- a/src/request/ReplicaTable.h
+++ b/src/request/ReplicaTable.h
@@ -78,6 +78,7 @@
     std::optional<Choice> choose(const Need&, const std::set<ReplicaRun>& tried, Instant now);
     /// The engines that this gateway uses, out of all that it knows.
     EngineSubset& subset() { return m_subset; }
+    [[nodiscard]] const EngineSubset& subset() const { return m_subset; }
     /// Whether any replica of this kind takes work, however busy it is.
     [[nodiscard]] bool hasReady(const std::string& service, UpstreamKind) const;
     /// The availability zone of a replica's run, or empty if that is not known or has ended.
