Each prefill that is refused takes from the retry budget

Cause: a refused prefill counts against the site's bound, the first accepted one does not. The budget was taken for the next prefill instead, so that two refusals of one request cost one, and a refusal cost nothing once the budget was used up. Change: a refusal is charged when it comes, and another prefill follows only while what was charged is within the budget. A request whose first prefill is refused and second accepted costs one, as before.

--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/ForwardPlaces.cpp
@@ -236,8 +236,12 @@
     if (!flow)
         return;
     endCall(*flow, event.isOtherReplica ? CallOutcome::Misdirected : CallOutcome::Refused, now);
-    bool isWithinBudget = event.wasNotAccepted && flow->triedReaders.size() < prefillsAtMost && m_budget.take(flow->service, now);
-    prefillElsewhere(*flow, isWithinBudget, now);
+    // A prefill that is refused counts against the site's bound, the first one that is accepted does not. What was taken for the next one
+    // instead left out the second of two refusals, and each first one while there was no budget for a second.
+    if (event.wasNotAccepted)
+        m_budget.charge(flow->service, now);
+    bool isWithinBudget = m_budget.left(flow->service, now) >= 0;
+    prefillElsewhere(*flow, event.wasNotAccepted && isWithinBudget && flow->triedReaders.size() < prefillsAtMost, now);
 }
 
 /// A prefill that surely was not accepted, or whose replica has ended, is asked of another replica. Any other one that may have been
--- a/src/request/SharedRetryBudget.h
+++ b/src/request/SharedRetryBudget.h
@@ -36,7 +36,9 @@
     void countRequest(const std::string& service, Instant now);
     /// Takes one resend from the budget. \returns false if there is none left.
     bool take(const std::string& service, Instant now);
-    /// What may still be sent in this window.
+    /// Counts a send that was one beyond the first, as its answer showed. It may take more than there is, and then none is left for others.
+    void charge(const std::string& service, Instant now) { current(service, now).resends.push_back(now); }
+    /// What may still be sent in this window; negative after more was charged.
     [[nodiscard]] double left(const std::string& service, Instant now);
     [[nodiscard]] std::map<std::string, double> leftByService(Instant now);
     /// A controller says how many gateways there are. A smaller number counts only once no larger one was told for a window: those that
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -467,6 +467,25 @@
     }
 }
 
+TEST_CASE("each prefill that is refused takes from the retry budget, whether or not another one follows")
+{
+    // Symptom: more calls beyond the first reach a service than the site's bound allows. Sequence: replicas have changed their stage
+    // unnoticed, and refuse prompts, two for each request. Cause: only the second prefill was taken from the budget, so that two refusals
+    // cost one, and one cost nothing once the budget was used up.
+    Bench bench;
+    bench.serve().replica("d", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill).replica("q", UpstreamKind::Prefill);
+    auto left = [&bench] { return bench.logic().retryBudget(bench.now).at("engine"); };
+    auto id = bench.ask("/stream/x");
+    auto whole = left();
+    bench.post(PlaceTaken { id, bench.only<TakePlace>().attempt, "place-1" });
+    bench.post(PromptNotRead { id, bench.only<Send>().attempt, true, true });
+    CHECK(left() == whole - 1);
+    REQUIRE(bench.only<Send>().isPrefill);
+    bench.post(PromptNotRead { id, bench.only<Send>().attempt, true, true });
+    CHECK(left() == whole - 2);
+    CHECK(!bench.only<Send>().isPrefill);
+}
+
 TEST_CASE("a prompt that was read stays of use when the decode replica turns out to be another one")
 {
     // Symptom: after a restart prompts are read twice. Sequence: a decode replica crashed and another run came at its address, which sets
