--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -480,11 +480,11 @@
     MSGPACK_DEFINE(id, start)
 };
 
-/// Renews the replicas' runs, and says how many gateways share the retry budget. It goes over every link once a second, so it names only
-/// the runs that were not heard of lately; whoever knows the same runs, by the digest, renews all others. The starts are told as their
-/// distance from the earliest of them: 5 bytes a replica, and not 10, for replicas that started within 49 days of each other.
+/// Renews the replicas' runs, and says how many gateways share the retry budget. It goes over every link once a second, so to gateways it
+/// names only the runs that were not heard of lately; a gateway that knows the same runs, by the digest, renews all others. The starts are
+/// told as their distance from the earliest of them: 5 bytes a replica, and not 10, for replicas that started within 49 days of each other.
 struct RegistryHeartbeat {
-    std::map<std::string, Duration> ages; ///< By id; with digest zero, all that the sender knows.
+    std::map<std::string, Duration> ages; ///< Since each run was heard of, by id.
     std::uint32_t gateways = 0;
     ReplicaStart earliest {};
     std::vector<std::uint64_t> startedAfter {}; ///< In the order of `ages`: milliseconds from `earliest` to the run's start.
--- a/src/request/RegistryFollower.h
+++ b/src/request/RegistryFollower.h
@@ -1,10 +1,10 @@
 /** \file
  * Whom to ask for the list of all replicas, when what is known here differs from what another process knows.
  *
- * Processes that hold the same list only tell each other its digest, once a second. What goes wrong otherwise: each controller told each of
- * its links the age of every replica each second, and all replicas one by one to a link that came up. With 10 controllers, 185 replicas
- * and 115 links that is 1,150 messages of 4 KB a second, and 1,850 messages to a gateway that starts, which is then late in the very
- * second after a loss of all instances. One notices by the processor time and the bytes of processes that have nothing to do.
+ * A link that comes up is told a digest of the list, and asks for the list only if its own differs. What goes wrong otherwise: each
+ * controller told all replicas one by one to a link that came up. With 10 controllers and 185 replicas a gateway that starts hears 1,850
+ * messages, and is late in the very second after a loss of all instances. One notices by first answers that come later than the processes
+ * are up.
  *
  * A process asks one of those that differ at a time, as after a start all do, and the first answer makes most of them agree.
  */
--- a/src/request/ReplicaRegistry.h
+++ b/src/request/ReplicaRegistry.h
@@ -33,8 +33,8 @@
     static constexpr Duration silentAfter = 4500ms;
     /// A replica that runs was heard of within this time: two announcements of 1.2 s.
     static constexpr Duration overdueAfter = 2400ms;
-    /// A run that was heard of within this time need not be named to those who know it too: announcements come every 1.2 s, and some
-    /// hundred ms late. These take it to have been heard of `usualAge` ago, which is wrong by 0.8 s at most, of the 4.5 s to silence.
+    /// A run that was heard of within this time need not be named to a gateway that knows it too: announcements come every 1.2 s, and some
+    /// hundred ms late. It takes it to have been heard of `usualAge` ago, which is wrong by 0.8 s at most, of the 4.5 s to silence.
     static constexpr Duration freshFor = 1600ms;
     static constexpr Duration usualAge = freshFor / 2;
     /// An entry that nobody renewed for this long is dropped. Far above the seconds by which announcements are late.
