--- a/src/process/Registrar.cpp
+++ b/src/process/Registrar.cpp
@@ -43,8 +43,8 @@
 {
     if (peer.role == Role::Sidecar)
         return;
-    // Without a number of gateways: a controller that has just started is linked to few of those that there are. Told 1, the first gateways
-    // after a loss of all took the whole slack of the retry budget each: 1,590 calls beyond the first in 10 s, where 893 are allowed.
+    // Without a number of gateways: a controller that has just started is linked to few of those that there are, and a gateway that is told
+    // too few takes too large a share of what all may send beyond first calls.
     boost::asio::post(m_strand, [this, id = peer.id, role = peer.role] { m_hub.send(id, heartbeatFor(role, 0)); });
 }
 
--- a/test/correctness/RegistrarTest.cpp
+++ b/test/correctness/RegistrarTest.cpp
@@ -49,7 +49,7 @@
 
 TEST_CASE("a link that comes up is told what its controller knows, but not how many gateways there are")
 {
-    // Symptom: after a loss of a whole site its gateways send 1,590 calls beyond the first in 10 s, where 893 are allowed. Sequence: a
+    // Symptom: after a loss of a whole site its gateways may send more calls beyond the first than all of them are allowed. Sequence: a
     // controller starts; the gateway that links to it first is told at once that it is the only one, and takes the whole slack of the
     // budget; so does the next one at another controller. Cause: gateways were counted before they had had time to link.
     IoContext io { 1 };
