A peer is looked up by its name in one place, and the parts of a list are checked by one loop

PeerHub::leave had the search of isLinkedByName again, and MessageCheck the same loop three times. No behaviour changes.

--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -74,23 +74,24 @@
         return std::nullopt;
     }
 
-    Fault check(const RegistryList& list)
+    template <typename T> Fault checkEach(const std::vector<T>& list)
     {
-        for (const auto& announced : list.known) {
-            if (auto fault = check(announced))
-                return fault;
-        }
-        for (const auto& change : list.changing) {
-            if (auto fault = check(change))
-                return fault;
-        }
-        for (const auto& withdrawn : list.ended) {
-            if (auto fault = check(withdrawn))
+        for (const auto& item : list) {
+            if (auto fault = check(item))
                 return fault;
         }
         return std::nullopt;
     }
 
+    Fault check(const RegistryList& list)
+    {
+        if (auto fault = checkEach(list.known))
+            return fault;
+        if (auto fault = checkEach(list.changing))
+            return fault;
+        return checkEach(list.ended);
+    }
+
     Fault check(const EngineLoadReport& report)
     {
         for (const auto& [service, busy] : report.services) {
--- a/src/connection/PeerHub.cpp
+++ b/src/connection/PeerHub.cpp
@@ -58,18 +58,17 @@
     {
         std::lock_guard lock(m_mutex);
         m_dialled.erase(address);
-        for (const auto& [peer, hello] : m_hellos) {
-            if (hello.name == address)
-                link = m_links.at(peer);
-        }
+        if (auto peer = linkedByName(address))
+            link = m_links.at(*peer);
     }
     if (link)
         link->close();
 }
 
-bool PeerHub::isLinkedByName(const std::string& name) const
+std::optional<PeerId> PeerHub::linkedByName(const std::string& name) const
 {
-    return std::any_of(m_hellos.begin(), m_hellos.end(), [&name](const auto& item) { return item.second.name == name; });
+    auto it = std::find_if(m_hellos.begin(), m_hellos.end(), [&name](const auto& item) { return item.second.name == name; });
+    return it == m_hellos.end() ? std::nullopt : std::optional(it->first);
 }
 
 /// Two processes may dial each other at the same moment. Both keep the link that the one with the lower id dialled; a second
@@ -97,7 +96,7 @@
             return;
         auto ceiling = backoff.ceiling();
         spread = std::uniform_int_distribution<std::int64_t>(ceiling.count() / 2, ceiling.count())(m_random) * 1us;
-        if (isLinkedByName(address)) {
+        if (linkedByName(address)) {
             backoff.linkedOtherwise();
             return dialAfter(address, DialBackoff::longestRetry, backoff);
         }
--- a/src/connection/PeerHub.h
+++ b/src/connection/PeerHub.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -65,7 +66,7 @@
     void dialAfter(const std::string& address, Duration delay, DialBackoff);
     void connect(const std::string& address, DialBackoff);
     bool takesOver(const std::shared_ptr<PeerLink>& former, const std::shared_ptr<PeerLink>& link, PeerId peer) const;
-    [[nodiscard]] bool isLinkedByName(const std::string& name) const;
+    [[nodiscard]] std::optional<PeerId> linkedByName(const std::string& name) const;
     Hello self();
 
     IoContext& m_io;
