Sight: a request's fingerprint where it is taken in, and the replica where it failed

What was missing: logs could not say whether two requests that look alike are the same one of the same caller, nor at which replica a failed one was without searching for the line of its start; so the hypotheses of the crashing request could not be told apart for sure. Now REQUEST_RECEIVED has the fingerprint (method, host, target, caller's address, body; never the id) and REQUEST_FAILED the replica. No decision changes.

--- a/src/base/Ids.cpp
+++ b/src/base/Ids.cpp
@@ -1,15 +1,24 @@
 #include "base/Ids.h"
 
+#include <array>
 #include <cstdio>
 
 namespace wrenhinge {
 
-std::string toString(PeerId id)
-{
-    char buf[20];
-    std::snprintf(buf, sizeof buf, "%016llx", static_cast<unsigned long long>(id.value()));
-    return buf;
-}
+namespace {
+
+    std::string hexadecimal(std::uint64_t n)
+    {
+        std::array<char, 20> buf {};
+        std::snprintf(buf.data(), buf.size(), "%016llx", static_cast<unsigned long long>(n));
+        return buf.data();
+    }
+
+} // namespace
+
+std::string toString(PeerId id) { return hexadecimal(id.value()); }
+
+std::string toString(RequestFingerprint fingerprint) { return hexadecimal(fingerprint.value()); }
 
 std::string toString(const RequestId& id) { return toString(id.origin) + "-" + std::to_string(id.sequence); }
 
--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -43,6 +43,9 @@
 /// The identity of a data folder, drawn when it is first made; a controller with a lost disk has another one.
 using DiskId = StrongId<struct DiskTag>;
 
+/// What the same request has in common with itself when its caller sends it again, under whatever id (RequestFingerprint.h).
+using RequestFingerprint = StrongId<struct RequestFingerprintTag>;
+
 /// When a replica started: Unix milliseconds by its own machine's clock; zero if it does not say.
 using ReplicaStart = StrongId<struct ReplicaStartTag>;
 
@@ -68,6 +71,8 @@
 /// The text form `<origin in hex>-<sequence>`, as it stands in logs, headers and `wrenhinge request explain`.
 std::string toString(const RequestId&);
 std::string toString(PeerId);
+/// 16 hexadecimal digits.
+std::string toString(RequestFingerprint);
 /// `<id>@<start>`, or the id alone if the run states no start.
 std::string toString(const ReplicaRun&);
 
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -17,6 +17,7 @@
 #include "process/LogicDriver.h"
 #include "process/Runtime.h"
 #include "request/ForwardLogic.h"
+#include "request/RequestFingerprint.h"
 #include "version/DocumentFollower.h"
 
 #include <algorithm>
@@ -177,6 +178,7 @@
         RequestId id { m_runtime.self(), ++m_lastSequence };
         answer->onGone = [this, id] { post(forward::CallerGone { id }); };
         words.ask.readFor = request.readFor;
+        words.ask.fingerprint = fingerprintOf({ request.method, request.host, request.target, request.caller, request.body });
         m_exchanges[id] = { std::move(request), std::move(words.id), std::move(answer), {} };
         post(forward::Submit { id, std::move(words.ask) });
     }
--- a/src/request/ForwardAnswers.cpp
+++ b/src/request/ForwardAnswers.cpp
@@ -190,7 +190,7 @@
         return;
     }
     if (flow.hasBegun) {
-        m_effects.push_back(Note { EventCode::RequestFailed, flow.id, why });
+        m_effects.push_back(Note { EventCode::RequestFailed, flow.id, why + " at " + toString(flow.replica) });
         m_effects.push_back(BreakStream { flow.id });
         return finish(flow, ResultCode::UpstreamFailed, now);
     }
@@ -214,8 +214,10 @@
 {
     Error error { code, why, retryAfter };
     bool hasFailed = flow.runs > 0;
-    m_effects.push_back(
-        Note { hasFailed ? EventCode::RequestFailed : EventCode::RequestRefused, flow.id, std::string(nameOf(code)) + ": " + why });
+    auto text = std::string(nameOf(code)) + ": " + why;
+    if (hasFailed)
+        text += " at " + toString(flow.replica);
+    m_effects.push_back(Note { hasFailed ? EventCode::RequestFailed : EventCode::RequestRefused, flow.id, std::move(text) });
     m_effects.push_back(Refuse { flow.id, std::move(error) });
     finish(flow, code, now);
 }
--- a/src/request/ForwardEvents.h
+++ b/src/request/ForwardEvents.h
@@ -19,6 +19,7 @@
 struct Ask {
     std::string host;
     std::string path; ///< Without the query.
+    RequestFingerprint fingerprint;
     std::optional<Duration> patience; ///< How long the caller will wait, counted from its sending.
     Duration readFor {}; ///< How long its reading took: already gone of the patience.
     std::uint32_t promptTokens = 0;
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -260,7 +260,7 @@
     m_effects.push_back(Note { EventCode::RequestReceived, flow.id,
         flow.route->name + " document " + std::to_string(m_table->version()) + " tokens " + std::to_string(ask.promptTokens) + "+"
             + std::to_string(ask.outputTokens) + " expected " + std::to_string(expectedTokensOf(flow)) + " left "
-            + std::to_string((flow.endsAt - now) / 1ms) + " ms" });
+            + std::to_string((flow.endsAt - now) / 1ms) + " ms fingerprint " + toString(ask.fingerprint) });
     auto& longest = m_longestPatience[flow.route->name];
     longest = std::max(longest, ask.patience.value_or(Duration::zero()));
     if (mightBeCut(flow))
--- /dev/null
+++ b/src/request/RequestFingerprint.cpp
@@ -0,0 +1,16 @@
+#include "request/RequestFingerprint.h"
+
+#include <xxhash.h>
+
+namespace wrenhinge {
+
+/// Each part is hashed with what came before it as its seed, so that none can end where another one begins.
+RequestFingerprint fingerprintOf(const RequestParts& parts)
+{
+    std::uint64_t hash = 0;
+    for (auto part : { parts.method, parts.host, parts.target, parts.caller, parts.body })
+        hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
+    return RequestFingerprint(hash);
+}
+
+} // namespace wrenhinge
