What controllers tell each other of a request comes to an end

Mend: an end is known once and cleared once at each process, and never comes back, so that each process passes it on once at most.

A sidecar says whether its engine's connection broke off, since an error answer is no end.

--- a/src/connection/UpstreamClient.cpp
+++ b/src/connection/UpstreamClient.cpp
@@ -95,7 +95,7 @@
         http::async_write(m_socket, m_request, [self = shared_from_this()](ErrorCode ec, std::size_t) {
             // Some bytes may have arrived even if not all of them left.
             if (ec)
-                return self->fail(true);
+                return self->breakOff();
             self->m_request.body().clear();
             self->readHead();
         });
@@ -107,7 +107,7 @@
             m_parser.skip(true);
         http::async_read_header(m_socket, m_buffer, m_parser, [self = shared_from_this()](ErrorCode ec, std::size_t) {
             if (ec)
-                return self->fail(true);
+                return self->breakOff();
             self->onHead();
         });
     }
@@ -142,7 +142,7 @@
             if (!ec)
                 m_parser.put_eof(ec);
             if (ec)
-                return fail(true);
+                return breakOff();
         }
         if (m_parser.is_done())
             return end();
@@ -150,7 +150,7 @@
         m_parser.get().body().size = m_piece.size();
         http::async_read_some(m_socket, m_buffer, m_parser, [self = shared_from_this()](ErrorCode ec, std::size_t) {
             if (ec && ec != http::error::need_buffer && ec != http::error::end_of_stream)
-                return self->fail(true);
+                return self->breakOff();
             self->onBody();
         });
     }
@@ -182,6 +182,9 @@
         finish(sidecar::CallFailed { m_call.id, mayHaveRun, code });
     }
 
+    /// The connection ended before the answer did.
+    void breakOff() { finish(sidecar::CallFailed { m_call.id, true, ResultCode::UpstreamFailed, true }); }
+
     void finish(sidecar::Event event)
     {
         report(std::move(event));
--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -144,7 +144,8 @@
     ResultCode code = ResultCode::UpstreamFailed;
     bool mayHaveRun = true;
     LoadReport load;
-    MSGPACK_DEFINE(request, attempt, code, mayHaveRun, load)
+    bool hasBrokenOff = false; ///< The upstream closed its connection before the answer was whole: it may have ended.
+    MSGPACK_DEFINE(request, attempt, code, mayHaveRun, load, hasBrokenOff)
 };
 
 enum class AdmissionState : std::uint8_t { NeverAdmitted, Running, Finished, Broken };
--- a/src/request/CrashTracker.cpp
+++ b/src/request/CrashTracker.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-    /// Ends of one request that are kept: more than it takes to refuse it, and those of runs that were in progress meanwhile.
-    constexpr std::size_t mostEnds = 16;
+    /// Ends of one request that are kept. Many more than it takes to refuse it come only of a request that many callers send, while
+    /// replicas are reset all the time; further ones then are passed over, rather than old ones forgotten and taken for new when they are
+    /// told again.
+    constexpr std::size_t mostEnds = 64;
     /// How many are forgotten at once when there are too many requests, so that the oldest need not be looked for at each new one.
     constexpr std::size_t forgottenAtOnce = CrashTracker::mostRequests / 8;
 
@@ -24,22 +26,21 @@
 {
     auto& request = m_requests[fingerprint];
     bool isKnown = std::any_of(request.ends.begin(), request.ends.end(), [&end](const End& other) { return other.run == end.run; });
-    if (isKnown || end.at <= request.servedAt)
+    if (isKnown || request.ends.size() >= mostEnds)
         return false;
+    end.isCleared = end.at <= request.servedAt;
+    bool isNews = !end.isCleared;
     auto after
         = std::upper_bound(request.ends.begin(), request.ends.end(), end.at, [](Instant at, const End& other) { return at < other.at; });
     request.ends.insert(after, std::move(end));
-    if (request.ends.size() > mostEnds)
-        request.ends.erase(request.ends.begin());
     if (m_requests.size() > mostRequests)
         forgetOldest();
-    return true;
+    return isNews;
 }
 
 bool CrashTracker::noteServed(RequestFingerprint fingerprint, Instant now) { return clear(fingerprint, now); }
 
-/// \returns whether this took ends away. Only that is news: the instant itself differs a little at each process, and would be passed on
-/// for ever.
+/// \returns whether this cleared any end, which alone is news.
 bool CrashTracker::clear(RequestFingerprint fingerprint, Instant servedAt)
 {
     auto it = m_requests.find(fingerprint);
@@ -47,7 +48,10 @@
         return false;
     auto& request = it->second;
     request.servedAt = std::max(request.servedAt, servedAt);
-    return std::erase_if(request.ends, [&request](const End& end) { return end.at <= request.servedAt; }) > 0;
+    bool isNews = false;
+    for (auto& end : request.ends)
+        isNews |= end.at <= request.servedAt && !std::exchange(end.isCleared, true);
+    return isNews;
 }
 
 CrashReport CrashTracker::take(const CrashReport& report, Instant now)
@@ -71,13 +75,17 @@
         const auto* entry = registry.find(end.run);
         return entry && entry->heardAt - end.at > heardAfterEnd;
     };
-    for (auto& [fingerprint, request] : m_requests)
-        std::erase_if(request.ends, isRefuted);
+    for (auto& [fingerprint, request] : m_requests) {
+        for (auto& end : request.ends)
+            end.isCleared = end.isCleared || isRefuted(end);
+    }
     forgetOld(now);
 }
 
 void CrashTracker::forgetOld(Instant now)
 {
+    for (auto& [fingerprint, request] : m_requests)
+        std::erase_if(request.ends, [now](const End& end) { return end.isCleared && now - end.at > rememberFor; });
     std::erase_if(m_requests, [now](const auto& item) { return now - lastOf(item.second) > rememberFor; });
 }
 
@@ -107,7 +115,7 @@
     auto refusal = firstRefusal;
     for (const auto& end : request.ends) {
         // It was in progress when the request was refused, or when another replica ended under it.
-        bool isAside = end.at < judgement.refusedUntil || (judgement.counted && end.began + wayOfMessage < lastCounted);
+        bool isAside = end.isCleared || end.at < judgement.refusedUntil || (judgement.counted && end.began + wayOfMessage < lastCounted);
         if (isAside)
             continue;
         lastCounted = end.at;
@@ -135,7 +143,7 @@
     auto text = "fingerprint " + toString(fingerprint) + " has ended";
     if (auto it = m_requests.find(fingerprint); it != m_requests.end()) {
         for (const auto& end : it->second.ends)
-            text += " " + toString(end.run);
+            text += end.isCleared ? "" : " " + toString(end.run);
     }
     return text;
 }
@@ -145,8 +153,10 @@
     auto it = m_requests.find(fingerprint);
     if (it == m_requests.end())
         return;
-    for (const auto& end : it->second.ends)
-        report.crashes.push_back({ fingerprint, end.run.id, end.run.start, now - end.at, end.at - end.began });
+    for (const auto& end : it->second.ends) {
+        if (!end.isCleared)
+            report.crashes.push_back({ fingerprint, end.run.id, end.run.start, now - end.at, end.at - end.began });
+    }
 }
 
 CrashReport CrashTracker::describeAll(Standing atLeast, Instant now) const
--- a/src/request/CrashTracker.h
+++ b/src/request/CrashTracker.h
@@ -11,6 +11,10 @@
  * - a run that was heard of after its end did not end: its connection was reset, or it broke off one answer;
  * - a whole answer shows that the request ends no replica, and nothing from before it counts.
  *
+ * An end of a run is known once and cleared once at each process, and never comes back: what processes tell each other of it therefore
+ * comes to an end. By the times alone, which are a little later after each message, an end that was cleared would look new when it came
+ * again by another way, be cleared again, and both would go round between the controllers for ever.
+ *
  * A refused request is let through again after a while, since the replicas may have been mended; if it ends one more, it is refused for
  * twice as long. All of this follows from the list of ends alone, so that processes which know the same ends agree.
  */
@@ -55,7 +59,7 @@
     bool noteServed(RequestFingerprint, Instant now);
     /// Takes what another process knows. \returns what of it was news.
     CrashReport take(const CrashReport&, Instant now);
-    /// Drops the ends of runs that were heard of since.
+    /// Clears the ends of runs that were heard of since, and forgets what is old.
     void dropRefuted(const ReplicaRegistry&, Instant now);
     void forgetOld(Instant now);
 
@@ -73,9 +77,10 @@
         ReplicaRun run;
         Instant began;
         Instant at;
+        bool isCleared = false; ///< It does not count any more, and is only remembered.
     };
     struct Request {
-        std::vector<End> ends; ///< In order of time.
+        std::vector<End> ends; ///< In order of time; of each run the first that was told.
         Instant servedAt; ///< The last whole answer; the beginning of time if there was none.
     };
     /// What follows from a list of ends.
--- a/src/request/GatewayContext.cpp
+++ b/src/request/GatewayContext.cpp
@@ -102,6 +102,41 @@
     close(request, code, now);
 }
 
+/// An engine may end and start again beside the same sidecar, so each end is taken for that of another run.
+void GatewayContext::noteReplicaEnd(const GatewayRequest& request, PeerId upstream, Instant now)
+{
+    auto moment = static_cast<std::uint64_t>(now.time_since_epoch() / 1ms);
+    ReplicaRun run { toString(upstream), ReplicaStart(moment) };
+    auto ranFor = now - request.sentAt;
+    if (!crashes.noteEnd(request.fingerprint, run, ranFor, now))
+        return;
+    tellControllers(CrashReport { { { request.fingerprint, run.id, run.start, Duration::zero(), ranFor } }, {} });
+    if (endsReplicas(request, now))
+        note(EventCode::RequestEndsReplicas, {}, crashes.text(request.fingerprint));
+}
+
+bool GatewayContext::endsReplicas(const GatewayRequest& request, Instant now) const
+{
+    return safeguards.refusesReplicaEnders && crashes.standing(request.fingerprint, now) == CrashTracker::Standing::Refused;
+}
+
+void GatewayContext::refuseAsEndingReplicas(GatewayRequest& request, Instant now)
+{
+    giveUp(request, ResultCode::EndsReplicas, "replicas that ran this very request have ended, so it is not run again", now);
+}
+
+void GatewayContext::noteServed(const GatewayRequest& request, Instant now)
+{
+    if (crashes.noteServed(request.fingerprint, now))
+        tellControllers(CrashReport { {}, { { request.fingerprint, Duration::zero() } } });
+}
+
+void GatewayContext::tellControllers(const Message& message)
+{
+    for (auto controller : controllers.linked())
+        send(controller, message);
+}
+
 void GatewayContext::upstreamFailed(PeerId id, Instant now)
 {
     if (upstreams.failed(id, now) == UpstreamTable::Change::Ejected)
--- a/src/request/GatewayContext.h
+++ b/src/request/GatewayContext.h
@@ -5,6 +5,7 @@
 
 #include "base/Safeguards.h"
 #include "request/AccountLimits.h"
+#include "request/CrashTracker.h"
 #include "request/GatewayEvents.h"
 #include "request/Placement.h"
 #include "request/RetryBudget.h"
@@ -35,12 +36,14 @@
 struct GatewayRequest {
     RequestId id;
     CallerRequest caller;
+    RequestFingerprint fingerprint; ///< The same when it comes again.
     ServiceRules rules;
     Priority priority = Priority::Normal;
     RequestPhase phase = RequestPhase::New;
     Instant arrived;
     Instant startBy; ///< The first token (generation) or the start (plain) is useless after this.
     Instant lastProgress;
+    Instant sentAt; ///< To the upstream that works on it now.
     Attempt attempt;
     int placements = 0;
     std::optional<Duration> retryAfter; ///< The soonest time that any refusal named.
@@ -56,7 +59,7 @@
     int moves = 0;
 
     std::string ledgerKey; ///< Plain and non-repeatable with a caller's key.
-    std::uint64_t fingerprint = 0;
+    std::uint64_t contentHash = 0; ///< As the ledger keeps it.
     KeptAnswer keptAnswer;
 
     bool headSent = false;
@@ -78,10 +81,12 @@
     AccountLimits limits;
     ConfigFollower follower;
     ControllerClient controllers;
+    CrashTracker crashes;
     std::unordered_map<RequestId, GatewayRequest> requests;
     std::vector<gateway::Effect> effects;
 
     void send(PeerId, Message);
+    void tellControllers(const Message&);
     void sendAll(ControllerClient::Sends);
     void note(EventCode, const RequestId&, std::string text);
 
@@ -95,6 +100,13 @@
     /// Counts a failure or success of an upstream and notes an ejection or return.
     void upstreamFailed(PeerId, Instant now);
     void upstreamSucceeded(PeerId);
+    /// The upstream's connection ended while it worked on the request.
+    void noteReplicaEnd(const GatewayRequest&, PeerId upstream, Instant now);
+    /// Whether replicas that ran this very request have ended, so that it is not run again.
+    [[nodiscard]] bool endsReplicas(const GatewayRequest&, Instant now) const;
+    void refuseAsEndingReplicas(GatewayRequest&, Instant now);
+    /// It was answered whole.
+    void noteServed(const GatewayRequest&, Instant now);
     /// Remembers the soonest time to come back among several refusals.
     static void rememberRetryAfter(GatewayRequest&, Duration);
     /// Forgets the request and reports how it ended.
--- a/src/request/GatewayLogic.cpp
+++ b/src/request/GatewayLogic.cpp
@@ -1,5 +1,7 @@
 #include "request/GatewayLogic.h"
 
+#include "request/RequestFingerprint.h"
+
 #include <xxhash.h>
 
 namespace wrenhinge {
@@ -9,8 +11,9 @@
     constexpr Duration tickEvery = 50ms;
     /// While a proposal waits, its repeat must not be late.
     constexpr Duration busyTick = 20ms;
+    constexpr Duration forgetEvery = 10s;
 
-    std::uint64_t fingerprintOf(const CallerRequest& caller)
+    std::uint64_t contentHashOf(const CallerRequest& caller)
     {
         auto text = caller.method + '\n' + caller.target + '\n' + caller.body;
         return XXH3_64bits(text.data(), text.size());
@@ -57,6 +60,7 @@
     auto& request = m_context.requests[event.request];
     request.id = event.request;
     request.caller = caller;
+    request.fingerprint = fingerprintOf({ caller.method, {}, caller.target, caller.account, caller.body });
     request.rules = rules.value();
     bool isUrgent = request.rules.urgent == UrgentRule::Always || (request.rules.urgent == UrgentRule::OnRequest && caller.asksUrgent);
     request.priority = isUrgent ? Priority::Urgent : Priority::Normal;
@@ -67,7 +71,7 @@
     if (!isGeneration && !request.rules.repeatable && !caller.idempotencyKey.empty()) {
         // Keys are the account's own: two accounts may use the same one.
         request.ledgerKey = caller.account + "/" + caller.service + "/" + caller.idempotencyKey;
-        request.fingerprint = fingerprintOf(caller);
+        request.contentHash = contentHashOf(caller);
     }
     request.summary = { .request = request.id,
         .service = caller.service,
@@ -140,6 +144,9 @@
     if (event.peer.role == Role::Controller) {
         m_context.controllers.onControllerUp(event.peer.id);
         m_context.sendAll(m_context.follower.onControllerUp(event.peer.id, now));
+        // It may have started again and know nothing.
+        if (auto report = m_context.crashes.describeAll(CrashTracker::Standing::Unknown, now); !report.isEmpty())
+            m_context.send(event.peer.id, std::move(report));
     }
 }
 
@@ -246,8 +253,12 @@
 
 void GatewayLogic::onMessage(PeerId from, const Failed& message, Instant now)
 {
-    if (auto* request = current(from, message.request, message.attempt))
-        withFlow(*request, [&](auto& flow) { flow.onFailed(*request, from, message, now); });
+    auto* request = current(from, message.request, message.attempt);
+    if (!request)
+        return;
+    if (message.hasBrokenOff && (from == request->upstream || from == request->prefill))
+        m_context.noteReplicaEnd(*request, from, now);
+    withFlow(*request, [&](auto& flow) { flow.onFailed(*request, from, message, now); });
 }
 
 void GatewayLogic::onMessage(PeerId from, const SealReply& message, Instant now)
@@ -277,6 +288,8 @@
         decided(*done, now);
 }
 
+void GatewayLogic::onMessage(PeerId, const CrashReport& message, Instant now) { m_context.crashes.take(message, now); }
+
 void GatewayLogic::decided(const ControllerClient::Decided& done, Instant now)
 {
     auto it = m_context.requests.find(done.owner);
@@ -313,6 +326,10 @@
         if (auto it = m_context.requests.find(id); it != m_context.requests.end())
             withFlow(it->second, [&](auto& flow) { flow.tick(it->second, now); });
     }
+    if (now >= m_nextForget) {
+        m_context.crashes.forgetOld(now);
+        m_nextForget = now + forgetEvery;
+    }
     m_nextTick = now + (m_context.controllers.empty() ? tickEvery : busyTick);
     checkDrained();
 }
--- a/src/request/GatewayLogic.h
+++ b/src/request/GatewayLogic.h
@@ -49,6 +49,7 @@
     void onMessage(PeerId, const ConfigDelta&, Instant);
     void onMessage(PeerId, const Watch&, Instant);
     void onMessage(PeerId, const ProposeReply&, Instant);
+    void onMessage(PeerId, const CrashReport&, Instant);
 
     void upstreamGone(PeerId, Instant);
     void decided(const ControllerClient::Decided&, Instant);
@@ -65,6 +66,7 @@
     PlainFlow m_plain;
     std::unordered_map<PeerId, Hello> m_sidecars;
     Instant m_nextTick;
+    Instant m_nextForget;
     bool m_isDraining = false;
     bool m_saidDrained = false;
 };
--- a/src/request/GenerationFlow.cpp
+++ b/src/request/GenerationFlow.cpp
@@ -28,6 +28,8 @@
 
 void GenerationFlow::place(GatewayRequest& request, Instant now)
 {
+    if (m_context.endsReplicas(request, now))
+        return m_context.refuseAsEndingReplicas(request, now);
     auto remaining = request.startBy - now;
     if (request.placements++ >= mostPlacements || remaining <= Duration::zero())
         return refuse(request, request.retryAfter ? ResultCode::Overloaded : ResultCode::DeadlineUnreachable, now);
@@ -64,6 +66,10 @@
 /// Chooses the prefill replica now and not with the decode replica: the queues may have changed while the grant waited.
 void GenerationFlow::startPrefill(GatewayRequest& request, Instant now)
 {
+    if (m_context.endsReplicas(request, now)) {
+        m_context.send(request.upstream, Cancel { request.id, request.attempt });
+        return m_context.refuseAsEndingReplicas(request, now);
+    }
     auto budget = request.startBy - now - transferTime(request);
     auto choice = m_context.placement.choosePrefill(request.caller.service, needOf(request), request.excludedPrefills, now);
     if (!choice || choice->end > budget) {
@@ -73,6 +79,7 @@
         return refuse(request, choice || request.retryAfter ? ResultCode::DeadlineUnreachable : ResultCode::NoUpstream, now);
     }
     request.phase = RequestPhase::Prefilling;
+    request.sentAt = now;
     request.prefill = choice->replica;
     request.cachedTokensGuess = choice->cachedTokens;
     request.unusedPrefillTokens = request.caller.promptTokens - choice->cachedTokens;
@@ -101,6 +108,7 @@
 void GenerationFlow::startDecode(GatewayRequest& request, Instant now)
 {
     request.phase = RequestPhase::WaitsForDecode;
+    request.sentAt = now;
     auto sequence = m_context.upstreams.sent(request.upstream, Duration::zero());
     auto resultLeft = resultLife - (now - request.prefilledAt);
     m_context.send(request.upstream,
@@ -160,6 +168,7 @@
         return m_context.giveUp(request, ResultCode::UpstreamFailed, "the answer ended early; send the request again", now);
     m_context.upstreamSucceeded(from);
     m_context.retries.onSuccess();
+    m_context.noteServed(request, now);
     m_context.answerEnd(request, now);
 }
 
--- a/src/request/PlainFlow.cpp
+++ b/src/request/PlainFlow.cpp
@@ -22,6 +22,8 @@
 
 void PlainFlow::place(GatewayRequest& request, Instant now)
 {
+    if (m_context.endsReplicas(request, now))
+        return m_context.refuseAsEndingReplicas(request, now);
     if (request.placements++ >= mostPlacements || now >= request.startBy)
         return m_context.giveUp(request, ResultCode::Overloaded, "no replica can start it in time; it was not run, come back later", now);
     auto replica = m_context.placement.chooseSlot(
@@ -42,7 +44,7 @@
 void PlainFlow::proposeIntent(GatewayRequest& request, Instant now)
 {
     request.phase = RequestPhase::WaitsForIntent;
-    IntentCommand intent { request.ledgerKey, request.fingerprint, request.attempt, request.upstream, request.id };
+    IntentCommand intent { request.ledgerKey, request.contentHash, request.attempt, request.upstream, request.id };
     m_context.sendAll(m_context.controllers.propose(std::move(intent), request.id, now + intentLimit, now));
 }
 
@@ -131,7 +133,7 @@
 void PlainFlow::dispatch(GatewayRequest& request, Instant now)
 {
     request.phase = RequestPhase::Dispatched;
-    request.lastProgress = now;
+    request.lastProgress = request.sentAt = now;
     const auto* upstream = m_context.upstreams.find(request.upstream);
     auto cost = upstream ? upstream->load.meanHold : Duration::zero();
     auto sequence = m_context.upstreams.sent(request.upstream, cost);
@@ -171,6 +173,7 @@
         return m_context.giveUp(request, ResultCode::OutcomeUnknown, "the answer ended early; the call has run", now);
     m_context.upstreamSucceeded(from);
     m_context.retries.onSuccess();
+    m_context.noteServed(request, now);
     if (isKeyed(request)) {
         bool isSmall = request.keptAnswer.body.size() <= keptAnswerLimit;
         auto kept = isSmall ? request.keptAnswer : KeptAnswer { request.keptAnswer.status, {}, {}, false };
--- a/src/request/SidecarEvents.h
+++ b/src/request/SidecarEvents.h
@@ -56,6 +56,7 @@
         CallId call;
         bool mayHaveRun = true;
         ResultCode code = ResultCode::UpstreamFailed;
+        bool hasBrokenOff = false; ///< The connection ended before the answer did: the engine may have ended.
     };
     /// The process is told to leave; or, by an operator, to take no new work for now.
     struct Drain { };
--- a/src/request/SidecarLogic.cpp
+++ b/src/request/SidecarLogic.cpp
@@ -141,7 +141,7 @@
     m_calls.erase(event.call);
     m_work.erase(key);
     if (answer)
-        send(gateway, Failed { key.request, key.attempt, event.code, event.mayHaveRun, load(gateway, now) });
+        send(gateway, Failed { key.request, key.attempt, event.code, event.mayHaveRun, load(gateway, now), event.hasBrokenOff });
     pump(now);
 }
 
--- a/src/version/ControllerClient.h
+++ b/src/version/ControllerClient.h
@@ -38,6 +38,7 @@
     std::optional<Decided> onReply(const ProposeReply&, Sends& sends, Instant now);
     /// Repeats what has waited too long and gives up what is past its deadline.
     std::vector<Decided> tick(Sends& sends, Instant now);
+    [[nodiscard]] const std::vector<PeerId>& linked() const { return m_controllers; }
     [[nodiscard]] bool empty() const { return m_pending.empty(); }
 
 private:
--- a/test/correctness/CrashTest.cpp
+++ b/test/correctness/CrashTest.cpp
@@ -1,11 +1,13 @@
 /** \file
  * Which requests are taken to end the replicas that run them, and which are not.
  */
-#include "request/CrashTracker.h"
+#include "request/CrashExchange.h"
 #include "request/RequestFingerprint.h"
 
 #include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
+#include <map>
 #include <rapidcheck.h>
 
 using namespace wrenhinge;
@@ -183,7 +185,7 @@
 
 TEST_CASE("processes that were told the same ends, in any order and more than once, judge alike")
 {
-    rc::check("any order of reports", [] {
+    CHECK(rc::check("any order of reports", [] {
         auto gaps = *rc::gen::container<std::vector<int>>(8, rc::gen::inRange(0, 3000));
         std::vector<CrashReport> reports;
         auto at = start;
@@ -208,5 +210,86 @@
         third.take(one.describeAll(Standing::Unknown, start + 30s), start + 30s);
         RC_ASSERT(third.standing(request, start + 30s) == one.standing(request, start + 30s));
         RC_ASSERT(other.take(one.describeAll(Standing::Unknown, start + 30s), start + 30s).isEmpty());
-    });
+    }));
+}
+
+TEST_CASE("gateways on either side of a cut hear of a request, over the controllers that each of them reaches")
+{
+    // Symptom: a request goes on ending replicas at gateways that reach other controllers than those which saw it end some.
+    CrashExchange one;
+    CrashExchange other;
+    auto pass = [&](CrashExchange& exchange, int n) {
+        CrashReport report;
+        report.crashes.push_back({ request, run(n).id, {}, 0s, 100ms });
+        return exchange.take(report, start + n * 1s);
+    };
+    auto first = pass(one, 0);
+    CHECK(first.controllers.crashes.size() == 1);
+    CHECK(first.gateways.isEmpty());
+    CHECK(other.take(first.controllers, start).gateways.isEmpty());
+    auto second = pass(other, 1);
+    CHECK(second.gateways.crashes.size() == 2);
+    one.take(second.controllers, start + 1s);
+    auto third = pass(one, 2);
+    REQUIRE(third.refused.size() == 1);
+    CHECK((third.refused[0] == request));
+    auto told = other.take(third.controllers, start + 2s).gateways;
+    CrashTracker gateway;
+    gateway.take(told, start + 2s);
+    CHECK(gateway.standing(request, start + 2s) == Standing::Refused);
+    // Told again, it is no news to anyone.
+    CHECK(one.take(third.controllers, start + 2s).controllers.isEmpty());
+}
+
+TEST_CASE("gateways are not told of requests that one replica has ended under, unless they are known for more")
+{
+    // Symptom: links carry thousands of messages for each engine that ends. Cause: all that ran there is told to all gateways.
+    CrashExchange exchange;
+    CrashReport report;
+    for (std::uint64_t i = 0; i < 60; ++i)
+        report.crashes.push_back({ RequestFingerprint(100 + i), "i-1", {}, 0s, 1s });
+    auto told = exchange.take(report, start);
+    CHECK(told.controllers.crashes.size() == 60);
+    CHECK(told.gateways.isEmpty());
+    CHECK(exchange.forPeer(Role::Controller, start).crashes.size() == 60);
+    CHECK(exchange.forPeer(Role::Gateway, start).isEmpty());
+}
+
+TEST_CASE("what controllers tell each other of a request comes to an end")
+{
+    // Symptom: all controllers take their whole processor time, fill their links, and read no configuration back. Sequence: a replica ends
+    // under a request, the request is answered whole at another gateway; both go from controller to controller, and each message makes its
+    // time a little later. Cause: an end that had been cleared was taken for a new one when it came again by another way, and then
+    // cleared again, for ever.
+    CHECK(rc::check("ends and answers in any order, over ways of any length", [] {
+        constexpr std::size_t controllers = 4;
+        constexpr std::size_t mostMessages = 5000;
+        std::array<CrashExchange, controllers> exchanges;
+        struct Letter {
+            std::size_t from;
+            std::size_t to;
+            CrashReport report;
+        };
+        std::multimap<Instant, Letter> network;
+        for (auto i : *rc::gen::container<std::vector<int>>(12, rc::gen::inRange(0, 1000))) {
+            CrashReport report;
+            if (i % 3 == 0)
+                report.served.push_back({ request, 0s });
+            else
+                report.crashes.push_back({ request, run(i % 7).id, {}, 0s, 10ms });
+            network.emplace(start + i * 1ms, Letter { controllers, static_cast<std::size_t>(i) % controllers, report });
+        }
+        auto ways = *rc::gen::container<std::vector<int>>(64, rc::gen::inRange(1, 300));
+        std::size_t messages = 0;
+        while (!network.empty() && messages < mostMessages) {
+            auto [now, letter] = *network.begin();
+            network.erase(network.begin());
+            auto told = exchanges[letter.to].take(letter.report, now);
+            for (std::size_t to = 0; to < controllers; ++to) {
+                if (to != letter.to && to != letter.from && !told.controllers.isEmpty())
+                    network.emplace(now + ways[messages++ % ways.size()] * 1ms, Letter { letter.to, to, told.controllers });
+            }
+        }
+        RC_ASSERT(network.empty());
+    }));
 }
--- a/test/support/FakeEngine.cpp
+++ b/test/support/FakeEngine.cpp
@@ -39,6 +39,8 @@
 void FakeEngine::start(const UpstreamCall& call)
 {
     m_running[call.id] = { call, 0 };
+    if (jobOf(call).endsEngine && call.kind != UpstreamKind::Prefill)
+        return later(call.id, 1ms, [this] { end(); });
     switch (call.kind) {
     case UpstreamKind::Prefill:
         return startPrefill(call);
@@ -59,6 +61,18 @@
     ++m_life;
 }
 
+/// Breaks off all that runs.
+void FakeEngine::end()
+{
+    ++ends;
+    std::vector<CallId> calls;
+    for (const auto& [id, running] : m_running)
+        calls.push_back(id);
+    stop();
+    for (auto id : calls)
+        m_report(sidecar::CallFailed { id, true, ResultCode::UpstreamFailed, true });
+}
+
 /// Does something for a call after a while, if the call still runs by then.
 void FakeEngine::later(CallId id, Duration wait, std::function<void()> action)
 {
--- a/test/support/FakeEngine.h
+++ b/test/support/FakeEngine.h
@@ -25,6 +25,7 @@
     std::uint32_t answerTokens = 1;
     std::vector<std::uint64_t> prefixBlocks;
     Duration plainTime = 5ms;
+    bool endsEngine = false; ///< The engine ends when it begins to run this, and starts again at once.
 };
 
 struct EngineModel {
@@ -75,6 +76,7 @@
     /// How often a plain call of this key or request was executed.
     [[nodiscard]] const std::map<std::string, int>& runs() const { return m_runs; }
     std::uint64_t prefilledTokens = 0;
+    int ends = 0; ///< How often it was ended by what it ran.
 
 private:
     struct Running {
@@ -85,6 +87,7 @@
     void startDecode(const UpstreamCall&);
     void startPlain(const UpstreamCall&);
     void produce(CallId);
+    void end();
     void later(CallId, Duration, std::function<void()>);
     std::uint32_t takeCached(const std::vector<std::uint64_t>&);
     [[nodiscard]] const Job& jobOf(const UpstreamCall&) const;
--- a/test/support/World.cpp
+++ b/test/support/World.cpp
@@ -584,6 +584,14 @@
     return n;
 }
 
+int World::engineEnds() const
+{
+    int n = 0;
+    for (const auto& [name, node] : m_nodes)
+        n += node.engine ? node.engine->ends : 0;
+    return n;
+}
+
 void World::checkEnd()
 {
     std::map<std::string, bool> allNotRun;
