A site that has lost its power as a whole still refuses a request that ends replicas

Callers of other requests would be cut off by three more ends after each such loss: what ends replicas was known in memory alone. Controllers with a disk now keep the requests that gateways should know in a file beside that of the replicas, by the same class (ReplicaMemory became DiskMemory of either).

--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -74,14 +74,7 @@
         return std::nullopt;
     }
 
-    Fault check(const ReplicaCrash& crash)
-    {
-        if (auto fault = faultOfId(crash.replica))
-            return fault;
-        if (crash.ranFor < Duration::zero() || crash.ranFor > longestSpan)
-            return wrong("ranFor", "a span of time from zero", std::to_string(crash.ranFor.count()) + " us");
-        return faultOfAge(crash.age);
-    }
+    Fault check(const ReplicaCrash& crash) { return faultOf(crash); }
 
     Fault check(const ServedAfterCrash& served) { return faultOfAge(served.age); }
 
@@ -203,6 +196,15 @@
     return std::nullopt;
 }
 
+std::optional<std::string> faultOf(const ReplicaCrash& crash)
+{
+    if (auto fault = faultOfId(crash.replica))
+        return fault;
+    if (crash.ranFor < Duration::zero() || crash.ranFor > longestSpan)
+        return wrong("ranFor", "a span of time from zero", std::to_string(crash.ranFor.count()) + " us");
+    return faultOfAge(crash.age);
+}
+
 std::optional<std::string> faultOf(const Message& message)
 {
     return std::visit([](const auto& m) { return check(m); }, message);
--- a/src/connection/MessageCheck.h
+++ b/src/connection/MessageCheck.h
@@ -35,6 +35,7 @@
 
 /// The first field that makes it unusable, and why; or nothing.
 std::optional<std::string> faultOf(const Announcement&);
+std::optional<std::string> faultOf(const ReplicaCrash&);
 std::optional<std::string> faultOf(const Message&);
 
 /// A text that came from outside, fit for a line of the log: at most `most` bytes, other than visible ASCII as `?`.
--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -111,7 +111,7 @@
         m_runtime.log().write({ EventCode::LogTailCut, {}, std::to_string(m_storage.cutBytes()) + " bytes of an unfinished write" });
     m_logic = std::make_unique<ControllerLogic>(raftSettings(m_settings, m_storage.disk()), std::move(recovered.value()), currentInstant());
     startRegistrar();
-    m_crashes.start();
+    startCrashRelay();
     auto adminAddress = m_adminServer.start(m_settings.admin, [this](const AdminRequest& request) { return admin(request); });
     if (!adminAddress)
         return adminAddress.error();
@@ -151,6 +151,17 @@
     boost::asio::post(m_strand, [this, remembered = std::move(remembered)] { m_registrar.start(remembered); });
 }
 
+void ControllerRole::startCrashRelay()
+{
+    std::vector<ReplicaCrash> remembered;
+    if (hasDisk()) {
+        m_crashMemory.emplace(m_settings.controller.data, m_runtime.log(), m_runtime.refusals());
+        m_crashes.onChange = [this](std::vector<ReplicaCrash> list) { m_crashMemory->save(std::move(list)); };
+        remembered = m_crashMemory->load();
+    }
+    m_crashes.start(std::move(remembered));
+}
+
 void ControllerRole::drain()
 {
     m_hub.stop();
--- a/src/process/ControllerRole.h
+++ b/src/process/ControllerRole.h
@@ -9,8 +9,8 @@
 #include "connection/PeerHub.h"
 #include "process/AdminPages.h"
 #include "process/CrashRelay.h"
+#include "process/DiskMemory.h"
 #include "process/Registrar.h"
-#include "process/ReplicaMemory.h"
 #include "version/ControllerLogic.h"
 #include "version/LogStorage.h"
 
@@ -59,6 +59,7 @@
     void onPeerUp(const Hello&);
     void onMessage(PeerId, Message&&);
     void startRegistrar();
+    void startCrashRelay();
     void tellRoster(PeerId);
     [[nodiscard]] bool isDynamic() const { return !m_settings.controller.seeds.empty(); }
     [[nodiscard]] bool hasDisk() const { return !m_settings.controller.data.empty(); }
@@ -82,6 +83,7 @@
     Registrar m_registrar;
     CrashRelay m_crashes;
     std::optional<ReplicaMemory> m_replicaMemory; ///< From `start` on.
+    std::optional<CrashMemory> m_crashMemory; ///< The same.
     AdminPages m_pages;
     AdminServer m_adminServer;
     std::thread m_thread;
--- a/src/process/CrashRelay.cpp
+++ b/src/process/CrashRelay.cpp
@@ -13,9 +13,12 @@
 {
 }
 
-void CrashRelay::start()
+void CrashRelay::start(std::vector<ReplicaCrash> remembered)
 {
-    boost::asio::post(m_strand, [this] { check(); });
+    boost::asio::post(m_strand, [this, remembered = std::move(remembered)] {
+        m_exchange.take(CrashReport { remembered, {} }, currentInstant());
+        check();
+    });
 }
 
 void CrashRelay::check()
@@ -41,7 +44,10 @@
 
 void CrashRelay::take(PeerId from, const CrashReport& report)
 {
-    auto told = m_exchange.take(report, currentInstant());
+    auto now = currentInstant();
+    auto told = m_exchange.take(report, now);
+    if (onChange && !told.gateways.isEmpty())
+        onChange(m_exchange.forPeer(Role::Gateway, now).crashes);
     for (const auto& request : told.refused)
         m_log.write({ EventCode::RequestEndsReplicas, {}, m_exchange.tracker().text(request) });
     for (const auto& peer : m_hub.peers()) {
--- a/src/process/CrashRelay.h
+++ b/src/process/CrashRelay.h
@@ -9,6 +9,8 @@
 #include "process/EventLog.h"
 #include "request/CrashExchange.h"
 
+#include <functional>
+
 namespace wrenhinge {
 
 class CrashRelay {
@@ -19,7 +21,10 @@
     /// \param registry of the replicas that announce themselves; used on the strand alone.
     CrashRelay(Strand, PeerHub&, EventLog&, const ReplicaRegistry& registry);
 
-    void start();
+    /// \param remembered what was known before this process started.
+    void start(std::vector<ReplicaCrash> remembered);
+    /// Called with all that gateways should know whenever that has changed; set before `start`.
+    std::function<void(std::vector<ReplicaCrash>)> onChange;
     // From links. Any thread.
     void peerUp(const Hello&);
     void receive(PeerId, const CrashReport&);
--- a/src/process/ReplicaMemory.cpp
+++ b/src/process/DiskMemory.cpp
@@ -1,4 +1,4 @@
-#include "process/ReplicaMemory.h"
+#include "process/DiskMemory.h"
 
 #include "connection/MessageCheck.h"
 #include "message/Codec.h"
@@ -10,11 +10,15 @@
 
 namespace {
 
-    constexpr auto fileName = "replicas";
+    /// The name of the file in the controller's data folder.
+    template <typename Entry> constexpr const char* fileName = nullptr;
+    template <> constexpr const char* fileName<Announcement> = "replicas";
+    template <> constexpr const char* fileName<ReplicaCrash> = "crashes";
 
 } // namespace
 
-ReplicaMemory::ReplicaMemory(std::string folder, EventLog& log, Refusals& refusals)
+template <typename Entry>
+DiskMemory<Entry>::DiskMemory(std::string folder, EventLog& log, Refusals& refusals)
     : m_folder(std::move(folder))
     , m_log(log)
     , m_refusals(refusals)
@@ -22,7 +26,7 @@
 {
 }
 
-ReplicaMemory::~ReplicaMemory()
+template <typename Entry> DiskMemory<Entry>::~DiskMemory()
 {
     {
         std::lock_guard lock(m_mutex);
@@ -32,9 +36,9 @@
     m_thread.join();
 }
 
-std::vector<Announcement> ReplicaMemory::load() const
+template <typename Entry> std::vector<Entry> DiskMemory<Entry>::load() const
 {
-    auto path = m_folder + "/" + fileName;
+    auto path = m_folder + "/" + fileName<Entry>;
     if (!std::filesystem::exists(path))
         return {};
     auto bytes = disk::readFile(path);
@@ -42,20 +46,21 @@
     auto list = bytes ? read(bytes.value(), refuse) : std::nullopt;
     if (list)
         return std::move(*list);
-    // The announcements will tell; the next save replaces it.
+    // The next save replaces it.
     m_log.write({ EventCode::ReplicasForgotten, {}, bytes ? path + " is damaged" : bytes.error().message });
     return {};
 }
 
 /// The record's checksum tells damage, which leaves nothing that can be trusted. An entry that can't be used in a whole record was
 /// written by another release; the others are as good as before.
-std::optional<std::vector<Announcement>> ReplicaMemory::read(std::string_view bytes, const std::function<void(const std::string&)>& refused)
+template <typename Entry>
+std::optional<std::vector<Entry>> DiskMemory<Entry>::read(std::string_view bytes, const std::function<void(const std::string&)>& refused)
 {
     auto payload = disk::recordAt(bytes, 0);
-    auto entries = payload ? decodeEach<Announcement>(*payload) : std::nullopt;
+    auto entries = payload ? decodeEach<Entry>(*payload) : std::nullopt;
     if (!entries)
         return std::nullopt;
-    std::vector<Announcement> list;
+    std::vector<Entry> list;
     for (auto& entry : *entries) {
         auto fault = entry ? faultOf(*entry) : "an entry has fields of other types";
         if (fault)
@@ -66,7 +71,7 @@
     return list;
 }
 
-void ReplicaMemory::save(std::vector<Announcement> list)
+template <typename Entry> void DiskMemory<Entry>::save(std::vector<Entry> list)
 {
     {
         std::lock_guard lock(m_mutex);
@@ -75,7 +80,7 @@
     m_changed.notify_one();
 }
 
-void ReplicaMemory::run()
+template <typename Entry> void DiskMemory<Entry>::run()
 {
     std::unique_lock lock(m_mutex);
     for (;;) {
@@ -90,11 +95,14 @@
     }
 }
 
-void ReplicaMemory::write(const std::vector<Announcement>& list)
+template <typename Entry> void DiskMemory<Entry>::write(const std::vector<Entry>& list)
 {
-    auto written = disk::replaceFile(m_folder, fileName, disk::sealRecord(encodeValue(list)));
+    auto written = disk::replaceFile(m_folder, fileName<Entry>, disk::sealRecord(encodeValue(list)));
     if (!written)
         m_log.write({ EventCode::ReplicasForgotten, {}, written.error().message });
 }
 
+template class DiskMemory<Announcement>;
+template class DiskMemory<ReplicaCrash>;
+
 } // namespace wrenhinge
--- a/src/version/LogStorage.h
+++ b/src/version/LogStorage.h
@@ -5,7 +5,7 @@
  *     log        records of `mark, length, checksum, payload`, appended; one for each sync
  *     snapshot   one record: the state up to an index; replaced whole by rename
  *
- * Beside them may lie `replicas`, which ReplicaMemory keeps and nothing here reads.
+ * Beside them may lie `replicas` and `crashes`, which DiskMemory keeps and nothing here reads.
  *
  * What goes wrong here and how it is met: a crash in the middle of a write leaves a torn record at the end, which was
  * never acknowledged, so it is cut. A bad record with good ones behind it can't come from a crash; something damaged the
--- a/test/correctness/ReplicaMemoryTest.cpp
+++ b/test/correctness/DiskMemoryTest.cpp
@@ -1,7 +1,7 @@
 /** \file
- * The list of replicas that a controller keeps on its disk.
+ * The lists of replicas, and of requests that end them, which a controller keeps on its disk.
  */
-#include "process/ReplicaMemory.h"
+#include "process/DiskMemory.h"
 #include "Folder.h"
 
 #include <doctest/doctest.h>
@@ -111,3 +111,31 @@
         std::this_thread::sleep_for(5ms);
     CHECK(log.events("").front().code == EventCode::ReplicasForgotten);
 }
+
+TEST_CASE("requests that end replicas are remembered beside the replicas, each in its file")
+{
+    // Symptom: after a site has lost its power a request that had been refused ends three replicas more.
+    Folder folder;
+    LogSettings settings;
+    EventLog log(settings, "test");
+    Refusals refusals(log);
+    ReplicaMemory replicaMemory(folder.path(), log, refusals);
+    CrashMemory memory(folder.path(), log, refusals);
+    CHECK(memory.load().empty());
+    replicaMemory.save(replicas({ "a" }));
+    memory.save({ { RequestFingerprint(7), "i-1", ReplicaStart(5), 3s, 100ms }, { RequestFingerprint(7), "", {}, 3s, 100ms } });
+    written(replicaMemory, 1);
+    for (;;) {
+        auto list = memory.load();
+        if (list.empty()) {
+            std::this_thread::sleep_for(5ms);
+            continue;
+        }
+        // The one without an id can't be used.
+        REQUIRE(list.size() == 1);
+        CHECK((list[0].request == RequestFingerprint(7)));
+        CHECK((list[0].run() == ReplicaRun { "i-1", ReplicaStart(5) }));
+        CHECK(list[0].age == 3s);
+        break;
+    }
+}
--- a/test/correctness/RunTest.cpp
+++ b/test/correctness/RunTest.cpp
@@ -5,8 +5,8 @@
 #include "base/SystemClock.h"
 #include "connection/UpstreamPool.h"
 #include "message/Codec.h"
+#include "process/DiskMemory.h"
 #include "process/Registrar.h"
-#include "process/ReplicaMemory.h"
 #include "request/ReplicaTable.h"
 #include "version/DiskFile.h"
 
--- a/test/fuzz/FuzzTest.cpp
+++ b/test/fuzz/FuzzTest.cpp
@@ -14,7 +14,7 @@
 #include "Mutator.h"
 #include "connection/MessageCheck.h"
 #include "message/Codec.h"
-#include "process/ReplicaMemory.h"
+#include "process/DiskMemory.h"
 #include "version/DiskFile.h"
 #include "version/LogStorage.h"
 
