One word for it: crash; events and effects of ForwardLogic in files of their own; a dead flag of UpstreamRequest goes

No change of behaviour but the names on the outside: 306 CRASHES_REPLICAS, event 215 REQUEST_CRASHES_REPLICAS. UpstreamRequest::needsFreshConnection was set by nobody.

--- a/src/base/EventCode.cpp
+++ b/src/base/EventCode.cpp
@@ -32,7 +32,7 @@
         EventRow { EventCode::LateAnswerDropped, "LATE_ANSWER_DROPPED" },
         EventRow { EventCode::DecodeMoved, "DECODE_MOVED" },
         EventRow { EventCode::PlaceAsked, "PLACE_ASKED" },
-        EventRow { EventCode::RequestEndsReplicas, "REQUEST_ENDS_REPLICAS" },
+        EventRow { EventCode::RequestCrashesReplicas, "REQUEST_CRASHES_REPLICAS" },
         EventRow { EventCode::IntentRecorded, "INTENT_RECORDED" },
         EventRow { EventCode::AnswerReplayed, "ANSWER_REPLAYED" },
         EventRow { EventCode::AttemptSealed, "ATTEMPT_SEALED" },
--- a/src/base/EventCode.h
+++ b/src/base/EventCode.h
@@ -40,7 +40,7 @@
     LateAnswerDropped = 212,
     DecodeMoved = 213,
     PlaceAsked = 214,
-    RequestEndsReplicas = 215,
+    RequestCrashesReplicas = 215,
     IntentRecorded = 220,
     AnswerReplayed = 221,
     AttemptSealed = 222,
--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -41,7 +41,7 @@
         CodeRow { ResultCode::UpstreamFailed, "UPSTREAM_FAILED", "failed", 502 },
         CodeRow { ResultCode::Cancelled, "CANCELLED", "cancelled", 499 },
         CodeRow { ResultCode::TimedOut, "TIMED_OUT", "unknown", 504 },
-        CodeRow { ResultCode::EndsReplicas, "ENDS_REPLICAS", "unknown", 502 },
+        CodeRow { ResultCode::CrashesReplicas, "CRASHES_REPLICAS", "unknown", 502 },
         CodeRow { ResultCode::BadSettings, "BAD_SETTINGS", notRun, 400 },
         CodeRow { ResultCode::BadConfiguration, "BAD_CONFIGURATION", notRun, 400 },
         CodeRow { ResultCode::ConfigConflict, "CONFIG_CONFLICT", notRun, 409 },
--- a/src/base/ResultCode.h
+++ b/src/base/ResultCode.h
@@ -44,7 +44,7 @@
     UpstreamFailed = 303,
     Cancelled = 304,
     TimedOut = 305,
-    EndsReplicas = 306,
+    CrashesReplicas = 306,
     // 4xx: settings and configuration.
     BadSettings = 400,
     BadConfiguration = 401,
--- a/src/base/Safeguards.h
+++ b/src/base/Safeguards.h
@@ -21,7 +21,7 @@
     bool recordsIntent = true; ///< A keyed call is in the ledger before it is sent.
     bool neverRepeats = true; ///< A call that may have run and may not be repeated is not sent again.
     bool expiresLeases = true; ///< An upstream whose lease has run out gets no new work.
-    bool refusesReplicaEnders = true; ///< A request under which three replicas have ended is not sent to another one.
+    bool refusesCrashingRequests = true; ///< A request under which three replicas have crashed is not sent to another one.
     bool cancelsForGoneCaller = true; ///< A caller's leaving is passed on to the sidecars.
     bool refusesWithoutLedger = true; ///< Without a majority a keyed call is refused, not sent unrecorded.
     // Controllers and those who follow them.
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -309,7 +309,7 @@
 UpstreamPool::Call UpstreamPool::call(
     const ReplicaRun& replica, const std::string& address, UpstreamRequest request, UpstreamCallHandlers handlers)
 {
-    auto connection = request.needsFreshConnection ? nullptr : takeIdle(replica);
+    auto connection = takeIdle(replica);
     bool isNew = !connection;
     if (isNew) {
         connection = std::make_shared<Connection>(*this, replica, m_strand);
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -55,7 +55,6 @@
 struct UpstreamRequest {
     std::string bytes;
     bool isHead = false; ///< Its answer has no body, whatever its headers say.
-    bool needsFreshConnection = false;
 };
 
 class UpstreamPool {
--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -620,20 +620,20 @@
     MSGPACK_DEFINE(address, tokens, prefillBacklog)
 };
 
-// --- Requests that end the replicas which run them --------------------------------------------------------------------
+// --- Requests that crash the replicas which run them ------------------------------------------------------------------
 
-/// The run of a replica ended while it worked on the request, as far as the sender can tell.
+/// The replica crashed while it worked on the request, as far as the sender can tell.
 struct ReplicaCrash {
     RequestFingerprint request;
     std::string replica;
     ReplicaStart start {}; ///< Of the replica's run.
-    Duration age {}; ///< Since it ended.
-    Duration ranFor {}; ///< From the sending of the request to that end.
+    Duration age {}; ///< Since then.
+    Duration ranFor {}; ///< From the sending of the request to the crash.
     [[nodiscard]] ReplicaRun run() const { return { replica, start }; }
     MSGPACK_DEFINE(request, replica, start, age, ranFor)
 };
 
-/// The request was answered whole: what ended under it before did not end of it.
+/// The request was answered whole: what crashed under it before did not crash of it.
 struct ServedAfterCrash {
     RequestFingerprint request;
     Duration age {}; ///< Since the answer.
--- a/src/process/CrashRelay.cpp
+++ b/src/process/CrashRelay.cpp
@@ -49,7 +49,7 @@
     if (onChange && !told.gateways.isEmpty())
         onChange(m_exchange.forPeer(Role::Gateway, now).crashes);
     for (const auto& request : told.refused)
-        m_log.write({ EventCode::RequestEndsReplicas, {}, m_exchange.tracker().text(request) });
+        m_log.write({ EventCode::RequestCrashesReplicas, {}, m_exchange.tracker().text(request) });
     for (const auto& peer : m_hub.peers()) {
         if (peer.id != from && peer.role != Role::Sidecar)
             tell(peer.id, peer.role == Role::Controller ? told.controllers : told.gateways);
--- a/src/process/DiskMemory.h
+++ b/src/process/DiskMemory.h
@@ -5,7 +5,7 @@
  * interval, and what callers ask meanwhile all goes to the first replicas that are known: the first prefill replica was sent 29 prompts
  * within 0.9 s, of which 16 were given up after 0.6 s and read at decode replicas.
  *
- * Of requests that end replicas: without it such a request ends three more of them after each such restart.
+ * Of requests that crash replicas: without it such a request crashes three more of them after each such restart.
  *
  * What is remembered may be wrong. A replica that has gone is not renewed and soon doubted, and each call names the replica that it
  * means, so another one at its address refuses it. One that has started again under its id is remembered as the run that it was, and
--- a/src/request/CrashExchange.cpp
+++ b/src/request/CrashExchange.cpp
@@ -15,7 +15,7 @@
         requests.insert(crash.request);
     for (const auto& request : requests) {
         auto standing = m_tracker.standing(request, now);
-        // All its ends: gateways know only those that they saw themselves, and pass over what they know.
+        // All its crashes: gateways know only those that they saw themselves, and pass over what they know.
         if (standing >= Standing::Watched)
             m_tracker.describe(request, told.gateways, now);
         if (standing == Standing::Refused)
--- a/src/request/CrashExchange.h
+++ b/src/request/CrashExchange.h
@@ -1,10 +1,10 @@
 /** \file
- * What a controller does with the ends of replicas under requests: what of them it tells whom.
+ * What a controller does with the crashes of replicas under requests: what of them it tells whom.
  *
  * What is news goes to all other controllers, as a gateway may reach only one side of a cut. Gateways are told of a request only once one
- * more end would have it refused, and then of each further end: an engine that ends leaves some tens of requests with one end each, and to
- * tell these to a hundred gateways would cost thousands of messages for nothing. A process that links hears all at once, so a gateway that
- * has started again knows what it knew before, and so does a controller.
+ * more crash would have it refused, and then of each further one: an engine that crashes leaves some tens of requests with one crash each,
+ * and to tell these to a hundred gateways would cost thousands of messages for nothing. A process that links hears all at once, so a
+ * gateway that has started again knows what it knew before, and so does a controller.
  */
 #pragma once
 
--- a/src/request/CrashTracker.cpp
+++ b/src/request/CrashTracker.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-    /// Ends of one request that are kept. Many more than it takes to refuse it come only of a request that many callers send, while
+    /// Crashes of one request that are kept. Many more than it takes to refuse it come only of a request that many callers send, while
     /// replicas are reset all the time; further ones then are passed over, rather than old ones forgotten and taken for new when they are
     /// told again.
-    constexpr std::size_t mostEnds = 64;
+    constexpr std::size_t mostCrashes = 64;
     /// How many are forgotten at once when there are too many requests, so that the oldest need not be looked for at each new one.
     constexpr std::size_t forgottenAtOnce = CrashTracker::mostRequests / 8;
 
@@ -17,22 +17,23 @@
 
 // --- What is known ----------------------------------------------------------------------------------------------
 
-bool CrashTracker::noteEnd(RequestFingerprint request, const ReplicaRun& run, Duration ranFor, Instant now)
+bool CrashTracker::noteCrash(RequestFingerprint request, const ReplicaRun& run, Duration ranFor, Instant now)
 {
     return add(request, { run, now - ranFor, now });
 }
 
-bool CrashTracker::add(RequestFingerprint fingerprint, End end)
+bool CrashTracker::add(RequestFingerprint fingerprint, Crash crash)
 {
     auto& request = m_requests[fingerprint];
-    bool isKnown = std::any_of(request.ends.begin(), request.ends.end(), [&end](const End& other) { return other.run == end.run; });
-    if (isKnown || request.ends.size() >= mostEnds)
+    bool isKnown
+        = std::any_of(request.crashes.begin(), request.crashes.end(), [&crash](const Crash& other) { return other.run == crash.run; });
+    if (isKnown || request.crashes.size() >= mostCrashes)
         return false;
-    end.isCleared = end.at <= request.servedAt;
-    bool isNews = !end.isCleared;
-    auto after
-        = std::upper_bound(request.ends.begin(), request.ends.end(), end.at, [](Instant at, const End& other) { return at < other.at; });
-    request.ends.insert(after, std::move(end));
+    crash.isCleared = crash.at <= request.servedAt;
+    bool isNews = !crash.isCleared;
+    auto after = std::upper_bound(
+        request.crashes.begin(), request.crashes.end(), crash.at, [](Instant at, const Crash& other) { return at < other.at; });
+    request.crashes.insert(after, std::move(crash));
     if (m_requests.size() > mostRequests)
         forgetOldest();
     return isNews;
@@ -40,7 +41,7 @@
 
 bool CrashTracker::noteServed(RequestFingerprint fingerprint, Instant now) { return clear(fingerprint, now); }
 
-/// \returns whether this cleared any end, which alone is news.
+/// \returns whether this cleared any crash, which alone is news.
 bool CrashTracker::clear(RequestFingerprint fingerprint, Instant servedAt)
 {
     auto it = m_requests.find(fingerprint);
@@ -49,8 +50,8 @@
     auto& request = it->second;
     request.servedAt = std::max(request.servedAt, servedAt);
     bool isNews = false;
-    for (auto& end : request.ends)
-        isNews |= end.at <= request.servedAt && !std::exchange(end.isCleared, true);
+    for (auto& crash : request.crashes)
+        isNews |= crash.at <= request.servedAt && !std::exchange(crash.isCleared, true);
     return isNews;
 }
 
@@ -71,13 +72,13 @@
 
 void CrashTracker::dropRefuted(const ReplicaRegistry& registry, Instant now)
 {
-    auto isRefuted = [&registry](const End& end) {
-        const auto* entry = registry.find(end.run);
-        return entry && entry->heardAt - end.at > heardAfterEnd;
+    auto isRefuted = [&registry](const Crash& crash) {
+        const auto* entry = registry.find(crash.run);
+        return entry && entry->heardAt - crash.at > heardAfterCrash;
     };
     for (auto& [fingerprint, request] : m_requests) {
-        for (auto& end : request.ends)
-            end.isCleared = end.isCleared || isRefuted(end);
+        for (auto& crash : request.crashes)
+            crash.isCleared = crash.isCleared || isRefuted(crash);
     }
     forgetOld(now);
 }
@@ -85,17 +86,17 @@
 void CrashTracker::forgetOld(Instant now)
 {
     for (auto& [fingerprint, request] : m_requests)
-        std::erase_if(request.ends, [now](const End& end) { return end.isCleared && now - end.at > rememberFor; });
+        std::erase_if(request.crashes, [now](const Crash& crash) { return crash.isCleared && now - crash.at > rememberFor; });
     std::erase_if(m_requests, [now](const auto& item) { return now - lastOf(item.second) > rememberFor; });
 }
 
 Instant CrashTracker::lastOf(const Request& request)
 {
     auto last = std::max(request.servedAt, judge(request).refusedUntil);
-    return request.ends.empty() ? last : std::max(last, request.ends.back().at);
+    return request.crashes.empty() ? last : std::max(last, request.crashes.back().at);
 }
 
-/// A request that was refused goes by the end of its refusal: those that a few engines leave with one end each must not displace it.
+/// A request that was refused goes by the end of its refusal: those that a few engines leave with one crash each must not displace it.
 void CrashTracker::forgetOldest()
 {
     std::vector<std::pair<Instant, RequestFingerprint>> byAge;
@@ -113,15 +114,16 @@
     Judgement judgement;
     Instant lastCounted;
     auto refusal = firstRefusal;
-    for (const auto& end : request.ends) {
+    for (const auto& crash : request.crashes) {
         // It was in progress when the request was refused, or when another replica ended under it.
-        bool isAside = end.isCleared || end.at < judgement.refusedUntil || (judgement.counted && end.began + wayOfMessage < lastCounted);
+        bool isAside
+            = crash.isCleared || crash.at < judgement.refusedUntil || (judgement.counted && crash.began + wayOfMessage < lastCounted);
         if (isAside)
             continue;
-        lastCounted = end.at;
-        if (++judgement.counted < endsUntilRefused)
+        lastCounted = crash.at;
+        if (++judgement.counted < crashesUntilRefused)
             continue;
-        judgement.refusedUntil = end.at + refusal;
+        judgement.refusedUntil = crash.at + refusal;
         refusal = std::min(2 * refusal, longestRefusal);
     }
     return judgement;
@@ -135,15 +137,15 @@
     auto judgement = judge(it->second);
     if (now < judgement.refusedUntil)
         return Standing::Refused;
-    return judgement.counted >= endsUntilWatched ? Standing::Watched : Standing::Unknown;
+    return judgement.counted >= crashesUntilWatched ? Standing::Watched : Standing::Unknown;
 }
 
 std::string CrashTracker::text(RequestFingerprint fingerprint) const
 {
-    auto text = "fingerprint " + toString(fingerprint) + " has ended";
+    auto text = "fingerprint " + toString(fingerprint) + " has crashed";
     if (auto it = m_requests.find(fingerprint); it != m_requests.end()) {
-        for (const auto& end : it->second.ends)
-            text += end.isCleared ? "" : " " + toString(end.run);
+        for (const auto& crash : it->second.crashes)
+            text += crash.isCleared ? "" : " " + toString(crash.run);
     }
     return text;
 }
@@ -153,9 +155,9 @@
     auto it = m_requests.find(fingerprint);
     if (it == m_requests.end())
         return;
-    for (const auto& end : it->second.ends) {
-        if (!end.isCleared)
-            report.crashes.push_back({ fingerprint, end.run.id, end.run.start, now - end.at, end.at - end.began });
+    for (const auto& crash : it->second.crashes) {
+        if (!crash.isCleared)
+            report.crashes.push_back({ fingerprint, crash.run.id, crash.run.start, now - crash.at, crash.at - crash.began });
     }
 }
 
--- a/src/request/ForwardAnswers.cpp
+++ b/src/request/ForwardAnswers.cpp
@@ -129,7 +129,7 @@
     bool isWhole = flow.splitter.rest().empty() && flow.hasBegun;
     endCall(flow, isWhole ? CallOutcome::Served : CallOutcome::Failed, now);
     if (!isWhole) {
-        noteReplicaEnd(flow, now);
+        noteCrash(flow, now);
         return resendOrFail(flow, true, "the stream ended inside an event", now);
     }
     noteServed(flow, now);
@@ -150,7 +150,7 @@
         return;
     endCall(*flow, event.mayHaveRun ? CallOutcome::Failed : CallOutcome::Unreachable, now);
     if (event.mayHaveRun)
-        noteReplicaEnd(*flow, now);
+        noteCrash(*flow, now);
     if (flow->stage == Flow::Stage::Prefilling)
         return prefillElsewhere(*flow, !event.mayHaveRun, now);
     if (!event.mayHaveRun)
@@ -184,7 +184,7 @@
 bool ForwardLogic::resend(Flow& flow, Instant now)
 {
     bool isPossible
-        = mayRunAgain(flow) && !endsReplicas(flow, now) && flow.sends < sendLimit && m_replicas.choose(needOf(flow), flow.tried, now);
+        = mayRunAgain(flow) && !crashesReplicas(flow, now) && flow.sends < sendLimit && m_replicas.choose(needOf(flow), flow.tried, now);
     return isPossible && m_budget.take(flow.service, now) && (prefillAgain(flow, now) || send(flow, now));
 }
 
@@ -202,8 +202,8 @@
         m_effects.push_back(BreakStream { flow.id });
         return finish(flow, ResultCode::UpstreamFailed, now);
     }
-    if (endsReplicas(flow, now))
-        return refuseAsEndingReplicas(flow, now);
+    if (crashesReplicas(flow, now))
+        return refuseAsCrashing(flow, now);
     auto notRun = flow.refusals ? ResultCode::Overloaded : ResultCode::NoUpstream;
     refuse(flow, flow.runs ? ResultCode::UpstreamFailed : notRun, why, now);
 }
--- a/src/request/ForwardCrashes.cpp
+++ b/src/request/ForwardCrashes.cpp
@@ -1,5 +1,5 @@
 /** \file
- * The part of ForwardLogic that is about requests which end the replicas that run them.
+ * The part of ForwardLogic that is about requests which crash the replicas that run them.
  */
 #include "request/ForwardLogic.h"
 
@@ -9,17 +9,17 @@
 
 namespace {
 
-    constexpr std::string_view whyRefused = "replicas that ran this very request have ended, so it is not run again";
+    constexpr std::string_view whyRefused = "replicas that ran this very request have crashed, so it is not run again";
 
 } // namespace
 
 /// The connection of the flow's call has ended without a whole answer. One that leaves closes its connections too.
-void ForwardLogic::noteReplicaEnd(const Flow& flow, Instant now)
+void ForwardLogic::noteCrash(const Flow& flow, Instant now)
 {
     const auto* entry = m_replicas.registry().find(flow.replica);
     bool isLeaving = entry && entry->announcement.state == ReplicaState::Draining;
     auto fingerprint = flow.ask.fingerprint;
-    if (isLeaving || fingerprint == RequestFingerprint() || !m_crashes.noteEnd(fingerprint, flow.replica, now - flow.sentAt, now))
+    if (isLeaving || fingerprint == RequestFingerprint() || !m_crashes.noteCrash(fingerprint, flow.replica, now - flow.sentAt, now))
         return;
     CrashReport report;
     report.crashes.push_back({ fingerprint, flow.replica.id, flow.replica.start, Duration::zero(), now - flow.sentAt });
@@ -33,22 +33,22 @@
         m_effects.push_back(TellCrashes { std::nullopt, { {}, { { flow.ask.fingerprint, Duration::zero() } } } });
 }
 
-bool ForwardLogic::endsReplicas(const Flow& flow, Instant now) const
+bool ForwardLogic::crashesReplicas(const Flow& flow, Instant now) const
 {
     return m_crashes.standing(flow.ask.fingerprint, now) == CrashTracker::Standing::Refused;
 }
 
 /// It may have run, under another id, so this is no "not run"; nor is there a time at which to come back.
-void ForwardLogic::refuseAsEndingReplicas(Flow& flow, Instant now) { refuse(flow, ResultCode::EndsReplicas, std::string(whyRefused), now); }
+void ForwardLogic::refuseAsCrashing(Flow& flow, Instant now) { refuse(flow, ResultCode::CrashesReplicas, std::string(whyRefused), now); }
 
 void ForwardLogic::noteIfRefused(RequestFingerprint fingerprint, Instant now)
 {
     if (m_crashes.standing(fingerprint, now) != CrashTracker::Standing::Refused || !m_newlyRefused.insert(fingerprint).second)
         return;
-    m_effects.push_back(Note { EventCode::RequestEndsReplicas, {}, m_crashes.text(fingerprint) });
+    m_effects.push_back(Note { EventCode::RequestCrashesReplicas, {}, m_crashes.text(fingerprint) });
 }
 
-/// A request that waits here while others like it have ended replicas would end one more.
+/// A request that waits here while others like it have crashed replicas would crash one more.
 void ForwardLogic::refuseNewlyKnown(Instant now)
 {
     auto refused = std::exchange(m_newlyRefused, {});
@@ -64,7 +64,7 @@
             m_effects.push_back(CancelCall { flow.id, flow.attempt });
             endCall(flow, CallOutcome::Abandoned, now);
         }
-        refuseAsEndingReplicas(flow, now);
+        refuseAsCrashing(flow, now);
     }
 }
 
--- a/src/request/ForwardFlow.h
+++ b/src/request/ForwardFlow.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "request/ForwardEffects.h"
 #include "request/ForwardEvents.h"
 #include "request/PlaceQueue.h"
 
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/ForwardLogic.cpp
@@ -266,8 +266,8 @@
             + std::to_string((flow.endsAt - now) / 1ms) + " ms fingerprint " + toString(ask.fingerprint) });
     auto& longest = m_longestPatience[flow.route->name];
     longest = std::max(longest, ask.patience.value_or(Duration::zero()));
-    if (endsReplicas(flow, now))
-        return refuseAsEndingReplicas(flow, now);
+    if (crashesReplicas(flow, now))
+        return refuseAsCrashing(flow, now);
     if (mightBeCut(flow))
         return refuseToBeCut(flow, now);
     if (shed(flow, now))
@@ -288,8 +288,8 @@
 
 void ForwardLogic::runOrFail(Flow& flow, Instant now)
 {
-    if (endsReplicas(flow, now))
-        return refuseAsEndingReplicas(flow, now);
+    if (crashesReplicas(flow, now))
+        return refuseAsCrashing(flow, now);
     if (send(flow, now))
         return;
     auto need = needOf(flow);
@@ -536,7 +536,7 @@
     // A second call to replicas that are full makes both late.
     bool isOverloaded = flow.stage == Flow::Stage::Running && m_shedder.refusedShare(flow.service) > 0;
     bool mayGoOn = !isOverloaded && flow.isCalling && flow.stage == Flow::Stage::Running && flow.runs + 1 < flow.route->maxAttempts
-        && flow.sends < sendLimit && !endsReplicas(flow, now) && m_replicas.choose(needOf(flow), flow.tried, now);
+        && flow.sends < sendLimit && !crashesReplicas(flow, now) && m_replicas.choose(needOf(flow), flow.tried, now);
     if (!mayGoOn || !m_budget.take(flow.service, now)) {
         flow.checkAt = flow.endsAt;
         m_wakes.insert({ flow.checkAt, flow.id });
--- a/src/request/ForwardLogic.h
+++ b/src/request/ForwardLogic.h
@@ -6,7 +6,7 @@
  *   "not run" is said only if every send of the request is known not to have run;
  * - a whole answer is gathered before it is passed on, so that one which breaks off can still be replaced; a stream is passed
  *   on event by event, and goes on at another replica after the last whole event where the route allows it;
- * - a request that ends the replicas which run it is refused, at whatever gateway it comes (CrashTracker);
+ * - a request that crashes the replicas which run it is refused, at whatever gateway it comes (CrashTracker);
  * - told to stop, it refuses at once a stream that might be cut when the process ends (StreamForecast);
  * - at the route's timeout, or when the caller's patience ends, the caller has a final answer and the replica is released.
  */
@@ -14,6 +14,7 @@
 
 #include "request/CrashTracker.h"
 #include "request/EngineLoad.h"
+#include "request/ForwardEffects.h"
 #include "request/ForwardEvents.h"
 #include "request/ForwardFlow.h"
 #include "request/LoadShedder.h"
@@ -134,11 +135,11 @@
     void prefillElsewhere(Flow&, bool mayBeAsked, Instant);
     bool prefillAgain(Flow&, Instant);
     void takeSourceBack(Flow&);
-    // Requests that end replicas (ForwardCrashes.cpp).
-    void noteReplicaEnd(const Flow&, Instant);
+    // Requests that crash replicas (ForwardCrashes.cpp).
+    void noteCrash(const Flow&, Instant);
     void noteServed(const Flow&, Instant);
-    [[nodiscard]] bool endsReplicas(const Flow&, Instant) const;
-    void refuseAsEndingReplicas(Flow&, Instant);
+    [[nodiscard]] bool crashesReplicas(const Flow&, Instant) const;
+    void refuseAsCrashing(Flow&, Instant);
     void noteIfRefused(RequestFingerprint, Instant);
     void refuseNewlyKnown(Instant);
     // Replicas that start again.
--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/ForwardPlaces.cpp
@@ -249,8 +249,8 @@
 /// then reads the prompt itself, which is slower and holds up the streams that run there.
 void ForwardLogic::prefillElsewhere(Flow& flow, bool mayBeAsked, Instant now)
 {
-    if (endsReplicas(flow, now))
-        return refuseAsEndingReplicas(flow, now);
+    if (crashesReplicas(flow, now))
+        return refuseAsCrashing(flow, now);
     if (!mayBeAsked || !prefill(flow, now))
         runOrFail(flow, now);
 }
--- a/src/request/GatewayContext.cpp
+++ b/src/request/GatewayContext.cpp
@@ -102,27 +102,27 @@
     close(request, code, now);
 }
 
-/// An engine may end and start again beside the same sidecar, so each end is taken for that of another run.
-void GatewayContext::noteReplicaEnd(const GatewayRequest& request, PeerId upstream, Instant now)
+/// An engine may crash and start again beside the same sidecar, so each crash is taken for that of another run.
+void GatewayContext::noteCrash(const GatewayRequest& request, PeerId upstream, Instant now)
 {
     auto moment = static_cast<std::uint64_t>(now.time_since_epoch() / 1ms);
     ReplicaRun run { toString(upstream), ReplicaStart(moment) };
     auto ranFor = now - request.sentAt;
-    if (!crashes.noteEnd(request.fingerprint, run, ranFor, now))
+    if (!crashes.noteCrash(request.fingerprint, run, ranFor, now))
         return;
     tellControllers(CrashReport { { { request.fingerprint, run.id, run.start, Duration::zero(), ranFor } }, {} });
-    if (endsReplicas(request, now))
-        note(EventCode::RequestEndsReplicas, {}, crashes.text(request.fingerprint));
+    if (crashesReplicas(request, now))
+        note(EventCode::RequestCrashesReplicas, {}, crashes.text(request.fingerprint));
 }
 
-bool GatewayContext::endsReplicas(const GatewayRequest& request, Instant now) const
+bool GatewayContext::crashesReplicas(const GatewayRequest& request, Instant now) const
 {
-    return safeguards.refusesReplicaEnders && crashes.standing(request.fingerprint, now) == CrashTracker::Standing::Refused;
+    return safeguards.refusesCrashingRequests && crashes.standing(request.fingerprint, now) == CrashTracker::Standing::Refused;
 }
 
-void GatewayContext::refuseAsEndingReplicas(GatewayRequest& request, Instant now)
+void GatewayContext::refuseAsCrashing(GatewayRequest& request, Instant now)
 {
-    giveUp(request, ResultCode::EndsReplicas, "replicas that ran this very request have ended, so it is not run again", now);
+    giveUp(request, ResultCode::CrashesReplicas, "replicas that ran this very request have crashed, so it is not run again", now);
 }
 
 void GatewayContext::noteServed(const GatewayRequest& request, Instant now)
--- a/src/request/GatewayContext.h
+++ b/src/request/GatewayContext.h
@@ -101,10 +101,10 @@
     void upstreamFailed(PeerId, Instant now);
     void upstreamSucceeded(PeerId);
     /// The upstream's connection ended while it worked on the request.
-    void noteReplicaEnd(const GatewayRequest&, PeerId upstream, Instant now);
-    /// Whether replicas that ran this very request have ended, so that it is not run again.
-    [[nodiscard]] bool endsReplicas(const GatewayRequest&, Instant now) const;
-    void refuseAsEndingReplicas(GatewayRequest&, Instant now);
+    void noteCrash(const GatewayRequest&, PeerId upstream, Instant now);
+    /// Whether replicas that ran this very request have crashed, so that it is not run again.
+    [[nodiscard]] bool crashesReplicas(const GatewayRequest&, Instant now) const;
+    void refuseAsCrashing(GatewayRequest&, Instant now);
     /// It was answered whole.
     void noteServed(const GatewayRequest&, Instant now);
     /// Remembers the soonest time to come back among several refusals.
--- a/src/request/GatewayLogic.cpp
+++ b/src/request/GatewayLogic.cpp
@@ -257,7 +257,7 @@
     if (!request)
         return;
     if (message.hasBrokenOff && (from == request->upstream || from == request->prefill))
-        m_context.noteReplicaEnd(*request, from, now);
+        m_context.noteCrash(*request, from, now);
     withFlow(*request, [&](auto& flow) { flow.onFailed(*request, from, message, now); });
 }
 
--- a/src/request/GenerationFlow.cpp
+++ b/src/request/GenerationFlow.cpp
@@ -28,8 +28,8 @@
 
 void GenerationFlow::place(GatewayRequest& request, Instant now)
 {
-    if (m_context.endsReplicas(request, now))
-        return m_context.refuseAsEndingReplicas(request, now);
+    if (m_context.crashesReplicas(request, now))
+        return m_context.refuseAsCrashing(request, now);
     auto remaining = request.startBy - now;
     if (request.placements++ >= mostPlacements || remaining <= Duration::zero())
         return refuse(request, request.retryAfter ? ResultCode::Overloaded : ResultCode::DeadlineUnreachable, now);
@@ -66,9 +66,9 @@
 /// Chooses the prefill replica now and not with the decode replica: the queues may have changed while the grant waited.
 void GenerationFlow::startPrefill(GatewayRequest& request, Instant now)
 {
-    if (m_context.endsReplicas(request, now)) {
+    if (m_context.crashesReplicas(request, now)) {
         m_context.send(request.upstream, Cancel { request.id, request.attempt });
-        return m_context.refuseAsEndingReplicas(request, now);
+        return m_context.refuseAsCrashing(request, now);
     }
     auto budget = request.startBy - now - transferTime(request);
     auto choice = m_context.placement.choosePrefill(request.caller.service, needOf(request), request.excludedPrefills, now);
--- a/src/request/PlainFlow.cpp
+++ b/src/request/PlainFlow.cpp
@@ -22,8 +22,8 @@
 
 void PlainFlow::place(GatewayRequest& request, Instant now)
 {
-    if (m_context.endsReplicas(request, now))
-        return m_context.refuseAsEndingReplicas(request, now);
+    if (m_context.crashesReplicas(request, now))
+        return m_context.refuseAsCrashing(request, now);
     if (request.placements++ >= mostPlacements || now >= request.startBy)
         return m_context.giveUp(request, ResultCode::Overloaded, "no replica can start it in time; it was not run, come back later", now);
     auto replica = m_context.placement.chooseSlot(
--- a/test/correctness/CrashTest.cpp
+++ b/test/correctness/CrashTest.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Which requests are taken to end the replicas that run them, and which are not.
+ * Which requests are taken to crash the replicas that run them, and which are not.
  */
 #include "request/CrashExchange.h"
 #include "request/RequestFingerprint.h"
@@ -34,10 +34,10 @@
 }
 
 /// Ends of different replicas a second apart, each 0.1 s after the request was sent there.
-void endAfterEach(CrashTracker& tracker, int n, Instant from = start)
+void crashAfterEach(CrashTracker& tracker, int n, Instant from = start)
 {
     for (int i = 0; i < n; ++i)
-        tracker.noteEnd(request, run(i), 100ms, from + i * 1s);
+        tracker.noteCrash(request, run(i), 100ms, from + i * 1s);
 }
 
 constexpr Instant afterThree = start + 2s;
@@ -63,21 +63,21 @@
     // Symptom: one request ends replica after replica. Sequence: its caller sends it again after each end. Cause: each run was a new
     // request to whoever took it, and the ends were counted by nobody.
     CrashTracker tracker;
-    endAfterEach(tracker, 1);
+    crashAfterEach(tracker, 1);
     CHECK(tracker.standing(request, start) == Standing::Unknown);
-    endAfterEach(tracker, 2);
+    crashAfterEach(tracker, 2);
     CHECK(tracker.standing(request, start + 1s) == Standing::Watched);
-    endAfterEach(tracker, 3);
+    crashAfterEach(tracker, 3);
     CHECK(tracker.standing(request, afterThree) == Standing::Refused);
     CHECK(tracker.standing(RequestFingerprint(8), afterThree) == Standing::Unknown);
-    CHECK(tracker.text(request) == "fingerprint 0000000000000007 has ended i-0 i-1 i-2");
+    CHECK(tracker.text(request) == "fingerprint 0000000000000007 has crashed i-0 i-1 i-2");
 }
 
 TEST_CASE("a replica ends once, however many say so")
 {
     CrashTracker tracker;
     for (int i = 0; i < 9; ++i)
-        CHECK(tracker.noteEnd(request, run(1), 100ms, start + i * 1s) == (i == 0));
+        CHECK(tracker.noteCrash(request, run(1), 100ms, start + i * 1s) == (i == 0));
     CHECK(tracker.standing(request, start + 9s) == Standing::Unknown);
 }
 
@@ -88,10 +88,10 @@
     // another.
     CrashTracker tracker;
     for (int i = 0; i < 4; ++i)
-        tracker.noteEnd(request, run(i), 300ms, start + i * 40ms);
+        tracker.noteCrash(request, run(i), 300ms, start + i * 40ms);
     CHECK(tracker.standing(request, start + 1s) == Standing::Unknown);
     // It comes again, and the replica that it comes to ends too: that may be the request's doing.
-    tracker.noteEnd(request, run(9), 100ms, start + 2s);
+    tracker.noteCrash(request, run(9), 100ms, start + 2s);
     CHECK(tracker.standing(request, start + 2s) == Standing::Watched);
 }
 
@@ -103,7 +103,7 @@
     ReplicaRegistry registry;
     for (int i = 0; i < 3; ++i)
         registry.announce(announcement(i, 1), 0s, start - 1s);
-    endAfterEach(tracker, 3);
+    crashAfterEach(tracker, 3);
     tracker.dropRefuted(registry, afterThree);
     CHECK(tracker.standing(request, afterThree) == Standing::Refused);
     // Heard of just after its end: it may have been said before.
@@ -119,7 +119,7 @@
 {
     CrashTracker tracker;
     ReplicaRegistry registry;
-    endAfterEach(tracker, 3);
+    crashAfterEach(tracker, 3);
     for (int i = 0; i < 3; ++i) {
         auto again = announcement(i, 1);
         again.start = ReplicaStart(1'764'700'000'000);
@@ -132,13 +132,13 @@
 TEST_CASE("a whole answer clears what ended before it, at every process")
 {
     CrashTracker tracker;
-    endAfterEach(tracker, 2);
+    crashAfterEach(tracker, 2);
     auto before = tracker.describeAll(Standing::Unknown, start + 1s);
     CHECK(tracker.noteServed(request, start + 1500ms));
     CHECK(!tracker.noteServed(request, start + 1600ms));
     // Others that have not heard of the answer tell the ends again.
     CHECK(tracker.take(before, start + 1s).isEmpty());
-    tracker.noteEnd(request, run(5), 100ms, start + 3s);
+    tracker.noteCrash(request, run(5), 100ms, start + 3s);
     CHECK(tracker.standing(request, start + 3s) == Standing::Unknown);
     CHECK(!tracker.noteServed(RequestFingerprint(8), start));
     CHECK(tracker.size() == 1);
@@ -147,13 +147,13 @@
 TEST_CASE("a refused request is let through after a while, and refused for twice as long by one more end")
 {
     CrashTracker tracker;
-    endAfterEach(tracker, 3);
+    crashAfterEach(tracker, 3);
     // In progress when it was refused.
-    tracker.noteEnd(request, run(10), 100ms, afterThree + 1s);
+    tracker.noteCrash(request, run(10), 100ms, afterThree + 1s);
     auto again = afterThree + CrashTracker::firstRefusal;
     CHECK(tracker.standing(request, again - 1us) == Standing::Refused);
     CHECK(tracker.standing(request, again) == Standing::Watched);
-    tracker.noteEnd(request, run(11), 100ms, again + 1s);
+    tracker.noteCrash(request, run(11), 100ms, again + 1s);
     CHECK(tracker.standing(request, again + 1s + 2 * CrashTracker::firstRefusal - 1us) == Standing::Refused);
     CHECK(tracker.standing(request, again + 1s + 2 * CrashTracker::firstRefusal) == Standing::Watched);
 }
@@ -161,25 +161,25 @@
 TEST_CASE("what is known of a request is forgotten in time, and bounded in number")
 {
     CrashTracker tracker;
-    endAfterEach(tracker, 1);
+    crashAfterEach(tracker, 1);
     tracker.forgetOld(start + CrashTracker::rememberFor);
     CHECK(tracker.size() == 1);
     tracker.forgetOld(start + CrashTracker::rememberFor + 1us);
     CHECK(tracker.size() == 0);
     for (std::uint64_t i = 0; i < 2 * CrashTracker::mostRequests; ++i)
-        tracker.noteEnd(RequestFingerprint(i + 100), run(1), 100ms, start + i * 1us);
+        tracker.noteCrash(RequestFingerprint(i + 100), run(1), 100ms, start + i * 1us);
     CHECK(tracker.size() <= CrashTracker::mostRequests);
     CHECK(tracker.size() > CrashTracker::mostRequests / 2);
     // The newest are still known.
-    CHECK(!tracker.noteEnd(RequestFingerprint(2 * CrashTracker::mostRequests + 99), run(1), 100ms, start + 1s));
+    CHECK(!tracker.noteCrash(RequestFingerprint(2 * CrashTracker::mostRequests + 99), run(1), 100ms, start + 1s));
 }
 
 TEST_CASE("a refused request stays known while those that end by chance come and go")
 {
     CrashTracker tracker;
-    endAfterEach(tracker, 3);
+    crashAfterEach(tracker, 3);
     for (std::uint64_t i = 0; i < 2 * CrashTracker::mostRequests; ++i)
-        tracker.noteEnd(RequestFingerprint(i + 100), run(1), 100ms, afterThree + 1s + i * 1us);
+        tracker.noteCrash(RequestFingerprint(i + 100), run(1), 100ms, afterThree + 1s + i * 1us);
     CHECK(tracker.standing(request, afterThree + 2s) == Standing::Refused);
 }
 
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -1207,7 +1207,7 @@
     bench.ask("/once/x", {}, ending);
     CHECK(bench.did<Send>().empty());
     auto error = bench.only<Refuse>().error;
-    CHECK(error.code == ResultCode::EndsReplicas);
+    CHECK(error.code == ResultCode::CrashesReplicas);
     CHECK(httpStatusOf(error.code) == 502);
     CHECK(outcomeOf(error.code) == "unknown");
     CHECK(!error.retryAfter);
@@ -1224,11 +1224,11 @@
     bench.ask("/once/x", {}, ending);
     CHECK(bench.did<Send>().size() == 1);
     bench.post(told(3));
-    CHECK(bench.did<Note>().back().code == EventCode::RequestEndsReplicas);
+    CHECK(bench.did<Note>().back().code == EventCode::RequestCrashesReplicas);
     bench.ask("/stream/x", {}, ending);
     CHECK(bench.did<Send>().empty());
     CHECK(bench.did<TakePlace>().empty());
-    CHECK(bench.only<Refuse>().error.code == ResultCode::EndsReplicas);
+    CHECK(bench.only<Refuse>().error.code == ResultCode::CrashesReplicas);
     // A controller that has just started is told what this gateway knows.
     bench.post(ControllerUp { PeerId(5) });
     CHECK((bench.only<TellCrashes>().controller == PeerId(5)));
@@ -1260,7 +1260,7 @@
         CHECK(bench.only<Send>().isPrefill);
     }
     bench.post(told(3));
-    CHECK(bench.only<Refuse>().error.code == ResultCode::EndsReplicas);
+    CHECK(bench.only<Refuse>().error.code == ResultCode::CrashesReplicas);
     CHECK(bench.did<Send>().empty());
     CHECK(bench.finished() == 1);
     bench.wait(1s);
@@ -1287,7 +1287,7 @@
     {
         bench.now += 100ms;
         bench.post(CallFailed { id, run.attempt, true, "the connection ended" });
-        CHECK(bench.only<Refuse>().error.code == ResultCode::EndsReplicas);
+        CHECK(bench.only<Refuse>().error.code == ResultCode::CrashesReplicas);
     }
     CHECK(bench.did<Send>().empty());
     CHECK(bench.finished() == 1);
--- a/test/correctness/RegistrarTest.cpp
+++ b/test/correctness/RegistrarTest.cpp
@@ -45,6 +45,48 @@
     return Hello { PeerId(id), role, role == Role::Gateway ? "gateway" : "controller", "", "", "", {} };
 }
 
+/// A controller's registrar, and a gateway that is linked to it before it starts.
+class Link {
+public:
+    explicit Link(Duration countsAfter)
+    {
+        m_registrar = std::make_unique<Registrar>(boost::asio::make_strand(m_io), m_controller, m_log, countsAfter);
+        m_thread = std::thread([this] { m_io.run(); });
+        m_gateway.dial(m_controller.listen("127.0.0.1:0").value());
+    }
+    ~Link()
+    {
+        m_io.stop();
+        m_thread.join();
+    }
+    void start()
+    {
+        boost::asio::post(m_io, [this] { m_registrar->start({}); });
+    }
+    Heard heard;
+
+private:
+    PeerHub::Handlers atController()
+    {
+        return { [this](const Hello& peer) { m_registrar->peerUp(peer); }, [](PeerId) {}, [](PeerId, Message&&) {},
+            [] { return HybridTime {}; }, [](HybridTime) {} };
+    }
+    PeerHub::Handlers atGateway()
+    {
+        return { [](const Hello&) {}, [](PeerId) {}, [this](PeerId, Message&& message) { heard.add(message); },
+            [] { return HybridTime {}; }, [](HybridTime) {} };
+    }
+
+    IoContext m_io { 1 };
+    boost::asio::executor_work_guard<IoContext::executor_type> m_work = boost::asio::make_work_guard(m_io);
+    LogSettings m_settings;
+    EventLog m_log { m_settings, "test" };
+    std::unique_ptr<Registrar> m_registrar;
+    PeerHub m_controller { m_io, hello(1, Role::Controller), atController() };
+    PeerHub m_gateway { m_io, hello(2, Role::Gateway), atGateway() };
+    std::thread m_thread;
+};
+
 } // namespace
 
 TEST_CASE("a link that comes up is told what its controller knows, but not how many gateways there are")
@@ -52,29 +94,10 @@
     // Symptom: after a loss of a whole site its gateways may send more calls beyond the first than all of them are allowed. Sequence: a
     // controller starts; the gateway that links to it first is told at once that it is the only one, and takes the whole slack of the
     // budget; so does the next one at another controller. Cause: gateways were counted before they had had time to link.
-    IoContext io { 1 };
-    auto work = boost::asio::make_work_guard(io);
-    LogSettings settings;
-    EventLog log { settings, "test" };
-    Heard heard;
-    std::unique_ptr<Registrar> registrar;
-    PeerHub::Handlers atController { [&registrar](const Hello& peer) { registrar->peerUp(peer); }, [](PeerId) {}, [](PeerId, Message&&) {},
-        [] { return HybridTime {}; }, [](HybridTime) {} };
-    PeerHub::Handlers atGateway { [](const Hello&) {}, [](PeerId) {}, [&heard](PeerId, Message&& message) { heard.add(message); },
-        [] { return HybridTime {}; }, [](HybridTime) {} };
-    PeerHub controller(io, hello(1, Role::Controller), atController);
-    PeerHub gateway(io, hello(2, Role::Gateway), atGateway);
-    // Counts at once, so that what the link is told first can be seen apart from it.
-    registrar = std::make_unique<Registrar>(boost::asio::make_strand(io), controller, log, Duration::zero());
-    std::thread thread([&io] { io.run(); });
-
-    gateway.dial(controller.listen("127.0.0.1:0").value());
-    CHECK(heard.await(1).gateways == 0);
-    boost::asio::post(io, [&registrar] { registrar->start({}); });
-    CHECK(heard.await(2).gateways == 1);
-
-    io.stop();
-    thread.join();
+    Link link(Duration::zero());
+    CHECK(link.heard.await(1).gateways == 0);
+    link.start();
+    CHECK(link.heard.await(2).gateways == 1);
 }
 
 TEST_CASE("a controller that has just started says nothing of how many gateways there are")
@@ -82,26 +105,8 @@
     // Symptom: after a loss of a whole large site 1,565 calls beyond the first reach a service in 10 s, where 900 are allowed. Sequence:
     // all start; each controller tells the gateways that have found it so far how many these are, 8 say; each of 105 gateways takes an
     // eighth of the slack. Cause: a number that grows for seconds was told as if it were one.
-    IoContext io { 1 };
-    auto work = boost::asio::make_work_guard(io);
-    LogSettings settings;
-    EventLog log { settings, "test" };
-    Heard heard;
-    std::unique_ptr<Registrar> registrar;
-    PeerHub::Handlers atController { [&registrar](const Hello& peer) { registrar->peerUp(peer); }, [](PeerId) {}, [](PeerId, Message&&) {},
-        [] { return HybridTime {}; }, [](HybridTime) {} };
-    PeerHub::Handlers atGateway { [](const Hello&) {}, [](PeerId) {}, [&heard](PeerId, Message&& message) { heard.add(message); },
-        [] { return HybridTime {}; }, [](HybridTime) {} };
-    PeerHub controller(io, hello(1, Role::Controller), atController);
-    PeerHub gateway(io, hello(2, Role::Gateway), atGateway);
-    registrar = std::make_unique<Registrar>(boost::asio::make_strand(io), controller, log);
-    std::thread thread([&io] { io.run(); });
-
-    gateway.dial(controller.listen("127.0.0.1:0").value());
-    heard.await(1);
-    boost::asio::post(io, [&registrar] { registrar->start({}); });
-    CHECK(heard.await(2).gateways == 0);
-
-    io.stop();
-    thread.join();
+    Link link(Registrar::countsGatewaysAfter);
+    link.heard.await(1);
+    link.start();
+    CHECK(link.heard.await(2).gateways == 0);
 }
--- a/test/support/FakeEngine.cpp
+++ b/test/support/FakeEngine.cpp
@@ -39,8 +39,8 @@
 void FakeEngine::start(const UpstreamCall& call)
 {
     m_running[call.id] = { call, 0 };
-    if (jobOf(call).endsEngine && call.kind != UpstreamKind::Prefill)
-        return later(call.id, 1ms, [this] { end(); });
+    if (jobOf(call).crashesEngine && call.kind != UpstreamKind::Prefill)
+        return later(call.id, 1ms, [this] { crash(); });
     switch (call.kind) {
     case UpstreamKind::Prefill:
         return startPrefill(call);
@@ -62,9 +62,9 @@
 }
 
 /// Breaks off all that runs.
-void FakeEngine::end()
+void FakeEngine::crash()
 {
-    ++ends;
+    ++crashes;
     std::vector<CallId> calls;
     for (const auto& [id, running] : m_running)
         calls.push_back(id);
--- a/test/support/FakeEngine.h
+++ b/test/support/FakeEngine.h
@@ -25,7 +25,7 @@
     std::uint32_t answerTokens = 1;
     std::vector<std::uint64_t> prefixBlocks;
     Duration plainTime = 5ms;
-    bool endsEngine = false; ///< The engine ends when it begins to run this, and starts again at once.
+    bool crashesEngine = false; ///< The engine crashes when it begins to run this, and starts again at once.
 };
 
 struct EngineModel {
@@ -76,7 +76,7 @@
     /// How often a plain call of this key or request was executed.
     [[nodiscard]] const std::map<std::string, int>& runs() const { return m_runs; }
     std::uint64_t prefilledTokens = 0;
-    int ends = 0; ///< How often it was ended by what it ran.
+    int crashes = 0; ///< How often it was crashed by what it ran.
 
 private:
     struct Running {
@@ -87,7 +87,7 @@
     void startDecode(const UpstreamCall&);
     void startPlain(const UpstreamCall&);
     void produce(CallId);
-    void end();
+    void crash();
     void later(CallId, Duration, std::function<void()>);
     std::uint32_t takeCached(const std::vector<std::uint64_t>&);
     [[nodiscard]] const Job& jobOf(const UpstreamCall&) const;
--- a/test/support/Scenario.cpp
+++ b/test/support/Scenario.cpp
@@ -165,7 +165,7 @@
             job.answerTokens = options.contains("answer") ? static_cast<std::uint32_t>(std::stoul(options["answer"])) : 50;
             caller.maxTokens = job.answerTokens * 2;
             job.plainTime = options.contains("takes") ? duration(options["takes"]) : 5ms;
-            job.endsEngine = options.contains("ends-engine");
+            job.crashesEngine = options.contains("crashes-engine");
             // A resend has the same body: it names the job of the first sending.
             auto& index = m_jobs[jobName(w.at(1), options)];
             if (!index) {
@@ -216,8 +216,8 @@
                 same(w.at(3), std::to_string(world().runs(w.at(2))));
             else if (kind == "held")
                 same(w.at(2), std::to_string(world().heldByEngines()));
-            else if (kind == "ends")
-                same(w.at(2), std::to_string(world().engineEnds()));
+            else if (kind == "crashes")
+                same(w.at(2), std::to_string(world().engineCrashes()));
             else if (kind == "results")
                 same(w.at(2), std::to_string(world().results.held(world().time.now())));
             else if (kind == "leader")
@@ -299,7 +299,7 @@
         static const std::map<std::string, bool Safeguards::*> names { WRENHINGE_SAFEGUARD(refusesOtherIncarnation),
             WRENHINGE_SAFEGUARD(honoursSeals), WRENHINGE_SAFEGUARD(dropsDuplicates), WRENHINGE_SAFEGUARD(releasesForLostGateway),
             WRENHINGE_SAFEGUARD(expiresGrants), WRENHINGE_SAFEGUARD(checksAttempts), WRENHINGE_SAFEGUARD(recordsIntent),
-            WRENHINGE_SAFEGUARD(neverRepeats), WRENHINGE_SAFEGUARD(expiresLeases), WRENHINGE_SAFEGUARD(refusesReplicaEnders),
+            WRENHINGE_SAFEGUARD(neverRepeats), WRENHINGE_SAFEGUARD(expiresLeases), WRENHINGE_SAFEGUARD(refusesCrashingRequests),
             WRENHINGE_SAFEGUARD(cancelsForGoneCaller), WRENHINGE_SAFEGUARD(refusesWithoutLedger), WRENHINGE_SAFEGUARD(countsOnlyKnownDisks),
             WRENHINGE_SAFEGUARD(stepsDownWithoutQuorum), WRENHINGE_SAFEGUARD(recognisesResends), WRENHINGE_SAFEGUARD(refusesEqualNumbers),
             WRENHINGE_SAFEGUARD(neverStepsBack), WRENHINGE_SAFEGUARD(keepsVotes) };
--- a/test/support/World.cpp
+++ b/test/support/World.cpp
@@ -584,11 +584,11 @@
     return n;
 }
 
-int World::engineEnds() const
+int World::engineCrashes() const
 {
     int n = 0;
     for (const auto& [name, node] : m_nodes)
-        n += node.engine ? node.engine->ends : 0;
+        n += node.engine ? node.engine->crashes : 0;
     return n;
 }
 
--- a/test/support/World.h
+++ b/test/support/World.h
@@ -108,8 +108,8 @@
     /// How often a key, or an unkeyed request, was run over all plain upstreams.
     [[nodiscard]] int runs(const std::string& key) const;
     [[nodiscard]] std::size_t heldByEngines() const;
-    /// How often engines were ended by what they ran.
-    [[nodiscard]] int engineEnds() const;
+    /// How often engines were crashed by what they ran.
+    [[nodiscard]] int engineCrashes() const;
     [[nodiscard]] std::vector<std::string> nodesOf(Role) const;
     [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
     /// Checks what can only be said at the end: every non-left caller answered, "not run" did not run, no memory held.
