--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/ForwardPlaces.cpp
@@ -197,6 +197,9 @@
         need.nearTo = m_replicas.zoneOf(flow.place->replica);
     need.cacheTokens = rule->engine.cacheTokens;
     need.maxCalls = callLimit(rule);
+    // A prefill that is refused counts as a call beyond the first. After a restart of the whole site many replicas are remembered that have
+    // started again under other ids; each gateway learns that of each of them by a refusal, and hundreds of requests by two.
+    need.skipsOverdue = m_budget.left(flow.service, now) < 1;
     auto choice = m_replicas.choose(need, flow.triedReaders, now);
     if (!choice)
         return false;
--- a/src/request/ReplicaTable.cpp
+++ b/src/request/ReplicaTable.cpp
@@ -92,6 +92,8 @@
         bool isAtLimit = need.maxCalls && load.calls >= need.maxCalls;
         const auto* room = m_rooms.find(entry.announcement.address);
         bool isFull = load.fullUntil > now || (room && room->tokens < need.leastRoom);
+        if (need.skipsOverdue && entry.isOverdue(now))
+            continue;
         if (isAtLimit || load.misdirectsUntil > now || (need.skipsFull && isFull))
             continue;
         // An engine whose room is not known looks as idle as this gateway keeps it, which is the least of what it does.
--- a/src/request/ReplicaTable.h
+++ b/src/request/ReplicaTable.h
@@ -47,6 +47,7 @@
         std::uint64_t leastRoom = 0; ///< With less room than this an engine would refuse it.
         std::uint64_t cacheTokens = 0; ///< What a replica's memory holds; zero: no engine.
         bool skipsFull = false; ///< Rather none than one that has no room now.
+        bool skipsOverdue = false; ///< Rather none than one that may have started again under another id.
         std::uint32_t maxCalls = 0; ///< A replica with this many calls from here is not sent another; zero: no limit.
         std::string nearTo; ///< The zone to prefer; empty: the gateway's own.
     };
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -1166,6 +1166,51 @@
     CHECK(former.isBefore(bench.only<Send>().replica));
 }
 
+// --- Replicas that nobody has heard of lately -------------------------------------------------------------------
+
+TEST_CASE("prefills at replicas that nobody has heard of lately stay within the retry budget")
+{
+    // Symptom: after a loss of a whole large site 1,612 calls beyond the first reach the engines in 10 s, where 899 are allowed. Sequence:
+    // gateways start and use the replicas that they remember; many of these have started again under other ids and answer that they are
+    // not meant. Cause: a prefill that is refused counts as a call beyond the first, and each request's first one was sent whatever
+    // was left of the budget.
+    Bench bench;
+    bench.serve().replica("d", UpstreamKind::Decode);
+    for (int i = 0; i < 200; ++i) {
+        Announcement announcement;
+        announcement.id = "p-" + std::to_string(i);
+        announcement.service = "engine";
+        announcement.address = announcement.id + ":80";
+        announcement.zone = "zone-1";
+        announcement.slots = 6;
+        announcement.kind = UpstreamKind::Prefill;
+        bench.post(Announced { announcement, ReplicaRegistry::overdueAfter + 100ms });
+    }
+    auto allowed = bench.logic().retryBudget(bench.now)["engine"];
+    int refused = 0;
+    for (int i = 0; i < 100; ++i) {
+        bench.ask("/stream/x");
+        auto take = bench.only<TakePlace>();
+        bench.post(PlaceTaken { take.id, take.attempt, "place-1" });
+        allowed = std::max(allowed, bench.logic().retryBudget(bench.now)["engine"] + refused);
+        while (bench.only<Send>().isPrefill) {
+            ++refused;
+            auto prefill = bench.only<Send>();
+            bench.post(PromptNotRead { prefill.id, prefill.attempt, true, true });
+        }
+        bench.post(CallerGone { take.id });
+    }
+    CHECK(refused > 0);
+    CHECK(refused <= allowed);
+    // One that was heard of reads prompts all the same.
+    bench.replica("heard", UpstreamKind::Prefill);
+    bench.ask("/stream/x");
+    auto take = bench.only<TakePlace>();
+    bench.post(PlaceTaken { take.id, take.attempt, "place-1" });
+    CHECK(bench.only<Send>().isPrefill);
+    CHECK(bench.only<Send>().replica.id == "heard");
+}
+
 // --- Requests that end replicas ---------------------------------------------------------------------------------
 
 namespace {
