--- a/src/request/GatewayLogic.cpp
+++ b/src/request/GatewayLogic.cpp
@@ -79,7 +79,8 @@
         .priority = request.priority,
         .code = ResultCode::Ok,
         .isGeneration = isGeneration };
-    m_context.note(EventCode::RequestReceived, request.id, caller.service + (isUrgent ? ", urgent" : ""));
+    m_context.note(EventCode::RequestReceived, request.id,
+        caller.service + (isUrgent ? ", urgent" : "") + ", fingerprint " + toString(request.fingerprint));
     withFlow(request, [&](auto& flow) { flow.begin(request, now); });
 }
 
--- a/test/correctness/CrashTest.cpp
+++ b/test/correctness/CrashTest.cpp
@@ -61,7 +61,7 @@
 TEST_CASE("a request under which three replicas have ended, one after the other, is refused")
 {
     // Symptom: one request ends replica after replica. Sequence: its caller sends it again after each end. Cause: each run was a new
-    // request to whoever took it, and the ends were counted by nobody.
+    // request to whoever took it, and nobody counted the crashes.
     CrashTracker tracker;
     crashAfterEach(tracker, 1);
     CHECK(tracker.standing(request, start) == Standing::Unknown);
@@ -73,7 +73,7 @@
     CHECK(tracker.text(request) == "fingerprint 0000000000000007 has crashed i-0 i-1 i-2");
 }
 
-TEST_CASE("a replica ends once, however many say so")
+TEST_CASE("a replica crashes once, however many say so")
 {
     CrashTracker tracker;
     for (int i = 0; i < 9; ++i)
@@ -84,7 +84,7 @@
 TEST_CASE("a caller whose requests ran at a whole rack that lost its power is served")
 {
     // Symptom: after an outage a caller's lookup is refused everywhere for minutes though it harms nobody. Sequence: a caller looks the
-    // same thing up four times at once, and the four replicas end at the same time. Cause: ends are counted as if each had followed
+    // same thing up four times at once, and the four replicas end at the same time. Cause: crashes are counted as if each had followed
     // another.
     CrashTracker tracker;
     for (int i = 0; i < 4; ++i)
@@ -136,7 +136,7 @@
     auto before = tracker.describeAll(Standing::Unknown, start + 1s);
     CHECK(tracker.noteServed(request, start + 1500ms));
     CHECK(!tracker.noteServed(request, start + 1600ms));
-    // Others that have not heard of the answer tell the ends again.
+    // Others that have not heard of the answer tell the crashes again.
     CHECK(tracker.take(before, start + 1s).isEmpty());
     tracker.noteCrash(request, run(5), 100ms, start + 3s);
     CHECK(tracker.standing(request, start + 3s) == Standing::Unknown);
@@ -183,7 +183,7 @@
     CHECK(tracker.standing(request, afterThree + 2s) == Standing::Refused);
 }
 
-TEST_CASE("processes that were told the same ends, in any order and more than once, judge alike")
+TEST_CASE("processes that were told the same crashes, in any order and more than once, judge alike")
 {
     CHECK(rc::check("any order of reports", [] {
         auto gaps = *rc::gen::container<std::vector<int>>(8, rc::gen::inRange(0, 3000));
@@ -243,7 +243,7 @@
 
 TEST_CASE("gateways are not told of requests that one replica has ended under, unless they are known for more")
 {
-    // Symptom: links carry thousands of messages for each engine that ends. Cause: all that ran there is told to all gateways.
+    // Symptom: links carry thousands of messages for each engine that crashes. Cause: all that ran there is told to all gateways.
     CrashExchange exchange;
     CrashReport report;
     for (std::uint64_t i = 0; i < 60; ++i)
@@ -261,7 +261,7 @@
     // under a request, the request is answered whole at another gateway; both go from controller to controller, and each message makes its
     // time a little later. Cause: an end that had been cleared was taken for a new one when it came again by another way, and then
     // cleared again, for ever.
-    CHECK(rc::check("ends and answers in any order, over ways of any length", [] {
+    CHECK(rc::check("crashes and answers in any order, over ways of any length", [] {
         constexpr std::size_t controllers = 4;
         constexpr std::size_t mostMessages = 5000;
         std::array<CrashExchange, controllers> exchanges;
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -1211,18 +1211,18 @@
     CHECK(bench.only<Send>().replica.id == "heard");
 }
 
-// --- Requests that end replicas ---------------------------------------------------------------------------------
+// --- Requests that crash replicas -------------------------------------------------------------------------------
 
 namespace {
 
-constexpr RequestFingerprint ending { 7 };
+constexpr RequestFingerprint crashing { 7 };
 
 /// What a controller tells of a request under which so many replicas have ended, a second apart.
-CrashesTold told(int ends, Duration newest = 1s)
+CrashesTold told(int crashes, Duration newest = 1s)
 {
     CrashesTold event;
-    for (int i = 0; i < ends; ++i)
-        event.report.crashes.push_back({ ending, "gone-" + std::to_string(i), {}, newest + i * 1s, 100ms });
+    for (int i = 0; i < crashes; ++i)
+        event.report.crashes.push_back({ crashing, "gone-" + std::to_string(i), {}, newest + i * 1s, 100ms });
     return event;
 }
 
@@ -1235,21 +1235,21 @@
     Bench bench;
     bench.serve().replica("a").replica("b").replica("c").replica("d");
     for (int i = 0; i < 3; ++i) {
-        auto id = bench.ask("/once/x", {}, ending);
+        auto id = bench.ask("/once/x", {}, crashing);
         auto send = bench.only<Send>();
         bench.now += 100ms;
         bench.post(CallFailed { id, send.attempt, true, "the connection ended" });
         auto tell = bench.only<TellCrashes>();
         CHECK(!tell.controller);
         REQUIRE(tell.report.crashes.size() == 1);
-        CHECK((tell.report.crashes[0].request == ending));
+        CHECK((tell.report.crashes[0].request == crashing));
         CHECK((tell.report.crashes[0].run() == send.replica));
         CHECK(tell.report.crashes[0].ranFor == 100ms);
         CHECK(httpStatusOf(bench.only<Refuse>().error.code) == 502);
         bench.post(Withdrawn { send.replica.id, {} });
         bench.now += 400ms;
     }
-    bench.ask("/once/x", {}, ending);
+    bench.ask("/once/x", {}, crashing);
     CHECK(bench.did<Send>().empty());
     auto error = bench.only<Refuse>().error;
     CHECK(error.code == ResultCode::CrashesReplicas);
@@ -1266,11 +1266,11 @@
     Bench bench;
     bench.serve().replica("d", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill).replica("a");
     bench.post(told(2));
-    bench.ask("/once/x", {}, ending);
+    bench.ask("/once/x", {}, crashing);
     CHECK(bench.did<Send>().size() == 1);
     bench.post(told(3));
     CHECK(bench.did<Note>().back().code == EventCode::RequestCrashesReplicas);
-    bench.ask("/stream/x", {}, ending);
+    bench.ask("/stream/x", {}, crashing);
     CHECK(bench.did<Send>().empty());
     CHECK(bench.did<TakePlace>().empty());
     CHECK(bench.only<Refuse>().error.code == ResultCode::CrashesReplicas);
@@ -1288,18 +1288,18 @@
     bench.serve().replica("d", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill);
     SUBCASE("asks for a place")
     {
-        bench.ask("/stream/x", {}, ending);
+        bench.ask("/stream/x", {}, crashing);
         CHECK(bench.did<TakePlace>().size() == 1);
     }
     SUBCASE("waits for one")
     {
-        bench.ask("/stream/x", {}, ending);
+        bench.ask("/stream/x", {}, crashing);
         auto take = bench.only<TakePlace>();
         bench.post(PlaceRefused { take.id, take.attempt, true });
     }
     SUBCASE("has its prompt read")
     {
-        bench.ask("/stream/x", {}, ending);
+        bench.ask("/stream/x", {}, crashing);
         auto take = bench.only<TakePlace>();
         bench.post(PlaceTaken { take.id, take.attempt, "place-1" });
         CHECK(bench.only<Send>().isPrefill);
@@ -1318,7 +1318,7 @@
     Bench bench;
     bench.serve().replica("d", UpstreamKind::Decode).replica("e", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill);
     bench.post(told(2));
-    auto id = bench.ask("/resumable/x", {}, ending);
+    auto id = bench.ask("/resumable/x", {}, crashing);
     auto run = bench.run(id);
     SUBCASE("it has begun")
     {
@@ -1343,14 +1343,14 @@
     Bench bench;
     bench.serve().replica("a").replica("b");
     bench.post(told(2));
-    bench.ask("/once/x", {}, ending);
+    bench.ask("/once/x", {}, crashing);
     bench.now += 100ms;
     bench.answer(bench.only<Send>(), 200);
     auto tell = bench.only<TellCrashes>();
     CHECK(tell.report.crashes.empty());
     REQUIRE(tell.report.served.size() == 1);
-    CHECK((tell.report.served[0].request == ending));
-    auto id = bench.ask("/once/x", {}, ending);
+    CHECK((tell.report.served[0].request == crashing));
+    auto id = bench.ask("/once/x", {}, crashing);
     auto send = bench.only<Send>();
     bench.replica(send.replica.id, UpstreamKind::Plain, 2, ReplicaState::Draining);
     bench.post(CallFailed { id, send.attempt, true, "the connection ended" });
