What a process tells of a crash is what its tracker calls news; one sentence for the refusal

No change of behaviour. CrashTracker::noteCrash and noteServed returned whether something was new, and both kinds of gateway then put the same report together again that CrashTracker::take would have returned; now they go through take and return it. The sentence that callers get stood twice. Comments of SharedRetryBudget and StagePlan say what their values protect callers from, not how they were found.

--- a/src/request/CrashTracker.cpp
+++ b/src/request/CrashTracker.cpp
@@ -17,9 +17,14 @@
 
 // --- What is known ----------------------------------------------------------------------------------------------
 
-bool CrashTracker::noteCrash(RequestFingerprint request, const ReplicaRun& run, Duration ranFor, Instant now)
+CrashReport CrashTracker::noteCrash(RequestFingerprint request, const ReplicaRun& run, Duration ranFor, Instant now)
 {
-    return add(request, { run, now - ranFor, now });
+    return take({ { { request, run.id, run.start, Duration::zero(), ranFor } }, {} }, now);
+}
+
+CrashReport CrashTracker::noteServed(RequestFingerprint request, Instant now)
+{
+    return take({ {}, { { request, Duration::zero() } } }, now);
 }
 
 bool CrashTracker::add(RequestFingerprint fingerprint, Crash crash)
@@ -39,8 +44,6 @@
     return isNews;
 }
 
-bool CrashTracker::noteServed(RequestFingerprint fingerprint, Instant now) { return clear(fingerprint, now); }
-
 /// \returns whether this cleared any crash, which alone is news.
 bool CrashTracker::clear(RequestFingerprint fingerprint, Instant servedAt)
 {
--- a/src/request/CrashTracker.h
+++ b/src/request/CrashTracker.h
@@ -54,10 +54,13 @@
     /// forgotten.
     static constexpr std::size_t mostRequests = 8192;
 
-    /// The replica has crashed under the request, as this process saw. \returns whether that was not known.
-    bool noteCrash(RequestFingerprint, const ReplicaRun&, Duration ranFor, Instant now);
-    /// The request was answered whole. \returns whether crashes were known that no longer count.
-    bool noteServed(RequestFingerprint, Instant now);
+    /// Why such a request is refused, in a caller's words.
+    static constexpr const char* whyRefused = "replicas that ran this very request have crashed, so it is not run again";
+
+    /// The replica has crashed under the request, as this process saw. \returns what is news to the controllers.
+    CrashReport noteCrash(RequestFingerprint, const ReplicaRun&, Duration ranFor, Instant now);
+    /// The request was answered whole. \returns the same: nothing unless this cleared a crash.
+    CrashReport noteServed(RequestFingerprint, Instant now);
     /// Takes what another process knows. \returns what of it was news.
     CrashReport take(const CrashReport&, Instant now);
     /// Clears the crashes of replicas that were heard of since, and forgets what is old.
--- a/src/request/ForwardCrashes.cpp
+++ b/src/request/ForwardCrashes.cpp
@@ -7,30 +7,28 @@
 
 using namespace forward;
 
-namespace {
-
-    constexpr std::string_view whyRefused = "replicas that ran this very request have crashed, so it is not run again";
-
-} // namespace
-
 /// The connection of the flow's call has ended without a whole answer. One that leaves closes its connections too.
 void ForwardLogic::noteCrash(const Flow& flow, Instant now)
 {
     const auto* entry = m_replicas.registry().find(flow.replica);
     bool isLeaving = entry && entry->announcement.state == ReplicaState::Draining;
     auto fingerprint = flow.ask.fingerprint;
-    if (isLeaving || fingerprint == RequestFingerprint() || !m_crashes.noteCrash(fingerprint, flow.replica, now - flow.sentAt, now))
+    if (isLeaving || fingerprint == RequestFingerprint())
         return;
-    CrashReport report;
-    report.crashes.push_back({ fingerprint, flow.replica.id, flow.replica.start, Duration::zero(), now - flow.sentAt });
-    m_effects.push_back(TellCrashes { std::nullopt, std::move(report) });
+    auto news = m_crashes.noteCrash(fingerprint, flow.replica, now - flow.sentAt, now);
+    if (news.isEmpty())
+        return;
+    tellCrashes(std::nullopt, std::move(news));
     noteIfRefused(fingerprint, now);
 }
 
-void ForwardLogic::noteServed(const Flow& flow, Instant now)
+void ForwardLogic::noteServed(const Flow& flow, Instant now) { tellCrashes(std::nullopt, m_crashes.noteServed(flow.ask.fingerprint, now)); }
+
+/// \param controller nothing: all of them.
+void ForwardLogic::tellCrashes(std::optional<PeerId> controller, CrashReport report)
 {
-    if (m_crashes.noteServed(flow.ask.fingerprint, now))
-        m_effects.push_back(TellCrashes { std::nullopt, { {}, { { flow.ask.fingerprint, Duration::zero() } } } });
+    if (!report.isEmpty())
+        m_effects.push_back(TellCrashes { controller, std::move(report) });
 }
 
 bool ForwardLogic::crashesReplicas(const Flow& flow, Instant now) const
@@ -39,7 +37,7 @@
 }
 
 /// It may have run, under another id, so this is no "not run"; nor is there a time at which to come back.
-void ForwardLogic::refuseAsCrashing(Flow& flow, Instant now) { refuse(flow, ResultCode::CrashesReplicas, std::string(whyRefused), now); }
+void ForwardLogic::refuseAsCrashing(Flow& flow, Instant now) { refuse(flow, ResultCode::CrashesReplicas, CrashTracker::whyRefused, now); }
 
 void ForwardLogic::noteIfRefused(RequestFingerprint fingerprint, Instant now)
 {
@@ -71,8 +69,7 @@
 void ForwardLogic::on(const ControllerUp& event, Instant now)
 {
     // The controller may have started again and know nothing.
-    if (auto report = m_crashes.describeAll(CrashTracker::Standing::Unknown, now); !report.isEmpty())
-        m_effects.push_back(TellCrashes { event.controller, std::move(report) });
+    tellCrashes(event.controller, m_crashes.describeAll(CrashTracker::Standing::Unknown, now));
 }
 
 void ForwardLogic::on(const CrashesTold& event, Instant now)
--- a/src/request/ForwardLogic.h
+++ b/src/request/ForwardLogic.h
@@ -138,6 +138,7 @@
     // Requests that crash replicas (ForwardCrashes.cpp).
     void noteCrash(const Flow&, Instant);
     void noteServed(const Flow&, Instant);
+    void tellCrashes(std::optional<PeerId> controller, CrashReport);
     [[nodiscard]] bool crashesReplicas(const Flow&, Instant) const;
     void refuseAsCrashing(Flow&, Instant);
     void noteIfRefused(RequestFingerprint, Instant);
--- a/src/request/GatewayContext.cpp
+++ b/src/request/GatewayContext.cpp
@@ -107,10 +107,10 @@
 {
     auto moment = static_cast<std::uint64_t>(now.time_since_epoch() / 1ms);
     ReplicaRun run { toString(upstream), ReplicaStart(moment) };
-    auto ranFor = now - request.sentAt;
-    if (!crashes.noteCrash(request.fingerprint, run, ranFor, now))
+    auto news = crashes.noteCrash(request.fingerprint, run, now - request.sentAt, now);
+    if (news.isEmpty())
         return;
-    tellControllers(CrashReport { { { request.fingerprint, run.id, run.start, Duration::zero(), ranFor } }, {} });
+    tellControllers(std::move(news));
     if (crashesReplicas(request, now))
         note(EventCode::RequestCrashesReplicas, {}, crashes.text(request.fingerprint));
 }
@@ -122,13 +122,13 @@
 
 void GatewayContext::refuseAsCrashing(GatewayRequest& request, Instant now)
 {
-    giveUp(request, ResultCode::CrashesReplicas, "replicas that ran this very request have crashed, so it is not run again", now);
+    giveUp(request, ResultCode::CrashesReplicas, CrashTracker::whyRefused, now);
 }
 
 void GatewayContext::noteServed(const GatewayRequest& request, Instant now)
 {
-    if (crashes.noteServed(request.fingerprint, now))
-        tellControllers(CrashReport { {}, { { request.fingerprint, Duration::zero() } } });
+    if (auto news = crashes.noteServed(request.fingerprint, now); !news.isEmpty())
+        tellControllers(std::move(news));
 }
 
 void GatewayContext::tellControllers(const Message& message)
--- a/src/request/SharedRetryBudget.h
+++ b/src/request/SharedRetryBudget.h
@@ -48,13 +48,13 @@
     [[nodiscard]] std::uint32_t gateways() const { return m_gateways; }
 
 private:
-    /// Gateways that share the slack until a controller says how many there are: more than a site has. Taken for 10 after a power loss
-    /// of a site with 30, they sent three times the slack together: 353 sends beyond the first in 10 s where 222 are allowed.
+    /// Gateways that share the slack until a controller says how many there are: about as many as the largest sites have. With fewer,
+    /// all gateways of a site that has lost its power would send more than the slack together, and callers' requests be repeated where
+    /// replicas can least bear it.
     static constexpr std::uint32_t gatewaysUnknown = 100;
     static constexpr double usedShare = 0.8;
     /// The part of it that a gateway uses in the first window after its start: it does not know what its former run sent in that window.
-    /// After a power loss of a whole site amid a release, gateways that used all of it sent 285 calls beyond the first in 10 s, where 276
-    /// are allowed.
+    /// If all gateways start at once, both runs together would else send more than is allowed.
     static constexpr double usedAfterStart = 0.4;
 
     struct Window {
--- a/src/request/StagePlan.h
+++ b/src/request/StagePlan.h
@@ -22,12 +22,12 @@
 namespace wrenhinge::stages {
 
 /// The least by which the busier stage must get less busy. A change takes an engine away for seconds, and plans that flip to and
-/// fro with the load would keep one away for good. One of forty engines changes the split by 3 to 4%, so that with 1.1 the plan stopped
-/// three changes short of the best one.
+/// fro with the load would keep one away for good. One of forty engines changes the split by 3 to 4%: a least gain well above that would
+/// stop the plan short of the best split, and callers would wait at the busier stage beside idle engines.
 constexpr double leastGain = 1.05;
 /// The busier stage must be busy for this part of its time, or the split does not matter to callers: a surge of 1.6 times the load still
-/// finds room then, and a change is an order and some seconds without the engine. With 0.3 a site with nine engines, busy for 0.4 to 0.57,
-/// changed two to and fro, and lost up to 0.08 of its worth on a day of surges and crashes.
+/// finds room then, and a change is an order and some seconds without the engine. Far below it a small site would change engines to and fro
+/// with each surge, and callers would find fewer of them.
 constexpr double leastBusy = 0.6;
 
 /// A decode replica is given to the prefill stage only if prefill replicas are busy for this part of their time: prompts hardly queue
