--- a/test/correctness/CrashTest.cpp
+++ b/test/correctness/CrashTest.cpp
@@ -77,7 +77,7 @@
 {
     CrashTracker tracker;
     for (int i = 0; i < 9; ++i)
-        CHECK(tracker.noteCrash(request, run(1), 100ms, start + i * 1s) == (i == 0));
+        CHECK(tracker.noteCrash(request, run(1), 100ms, start + i * 1s).crashes.size() == (i == 0 ? 1 : 0));
     CHECK(tracker.standing(request, start + 9s) == Standing::Unknown);
 }
 
@@ -134,13 +134,13 @@
     CrashTracker tracker;
     crashAfterEach(tracker, 2);
     auto before = tracker.describeAll(Standing::Unknown, start + 1s);
-    CHECK(tracker.noteServed(request, start + 1500ms));
-    CHECK(!tracker.noteServed(request, start + 1600ms));
+    CHECK(tracker.noteServed(request, start + 1500ms).served.size() == 1);
+    CHECK(tracker.noteServed(request, start + 1600ms).isEmpty());
     // Others that have not heard of the answer tell the crashes again.
     CHECK(tracker.take(before, start + 1s).isEmpty());
     tracker.noteCrash(request, run(5), 100ms, start + 3s);
     CHECK(tracker.standing(request, start + 3s) == Standing::Unknown);
-    CHECK(!tracker.noteServed(RequestFingerprint(8), start));
+    CHECK(tracker.noteServed(RequestFingerprint(8), start).isEmpty());
     CHECK(tracker.size() == 1);
 }
 
@@ -171,7 +171,7 @@
     CHECK(tracker.size() <= CrashTracker::mostRequests);
     CHECK(tracker.size() > CrashTracker::mostRequests / 2);
     // The newest are still known.
-    CHECK(!tracker.noteCrash(RequestFingerprint(2 * CrashTracker::mostRequests + 99), run(1), 100ms, start + 1s));
+    CHECK(tracker.noteCrash(RequestFingerprint(2 * CrashTracker::mostRequests + 99), run(1), 100ms, start + 1s).isEmpty());
 }
 
 TEST_CASE("a refused request stays known while those that end by chance come and go")
--- a/test/correctness/DiskMemoryTest.cpp
+++ b/test/correctness/DiskMemoryTest.cpp
@@ -1,8 +1,7 @@
 /** \file
  * The lists of replicas, and of requests that end them, which a controller keeps on its disk.
  */
-#include "process/DiskMemory.h"
-#include "Folder.h"
+#include "ControllerFolder.h"
 
 #include <doctest/doctest.h>
 #include <filesystem>
@@ -30,25 +29,12 @@
     return list;
 }
 
-/// Waits until the memory has written what it was given, as another start would find it.
-std::vector<Announcement> written(const ReplicaMemory& memory, std::size_t n)
-{
-    for (;;) {
-        if (auto list = memory.load(); list.size() == n)
-            return list;
-        std::this_thread::sleep_for(5ms);
-    }
-}
-
 } // namespace
 
 TEST_CASE("replicas are remembered as they were saved last")
 {
-    Folder folder;
-    LogSettings settings;
-    EventLog log(settings, "test");
-    Refusals refusals(log);
-    ReplicaMemory memory(folder.path(), log, refusals);
+    ControllerFolder at;
+    ReplicaMemory memory(at.folder.path(), at.log, at.refusals);
     CHECK(memory.load().empty());
     memory.save(replicas({ "a" }));
     memory.save(replicas({ "a", "b" }));
@@ -63,16 +49,13 @@
 
 TEST_CASE("a list that a power loss has torn is forgotten, with a line in the log, and replaced by the next one")
 {
-    Folder folder;
-    LogSettings settings;
-    EventLog log(settings, "test");
-    Refusals refusals(log);
-    ReplicaMemory memory(folder.path(), log, refusals);
+    ControllerFolder at;
+    ReplicaMemory memory(at.folder.path(), at.log, at.refusals);
     memory.save(replicas({ "a", "b" }));
     written(memory, 2);
-    std::filesystem::resize_file(folder.file("replicas"), std::filesystem::file_size(folder.file("replicas")) - 3);
+    std::filesystem::resize_file(at.folder.file("replicas"), std::filesystem::file_size(at.folder.file("replicas")) - 3);
     CHECK(memory.load().empty());
-    auto events = log.events("");
+    auto events = at.log.events("");
     CHECK(std::any_of(events.begin(), events.end(), [](const auto& event) { return event.code == EventCode::ReplicasForgotten; }));
     memory.save(replicas({ "d" }));
     CHECK(written(memory, 1)[0].id == "d");
@@ -82,11 +65,8 @@
 {
     // Symptom: after a restart no replica is known. Sequence: the list was written by a release that knows one more state, or holds
     // one entry without an address. Cause: one entry that can't be used made the whole list unreadable, or was taken as it was.
-    Folder folder;
-    LogSettings settings;
-    EventLog log(settings, "test");
-    Refusals refusals(log);
-    ReplicaMemory memory(folder.path(), log, refusals);
+    ControllerFolder at;
+    ReplicaMemory memory(at.folder.path(), at.log, at.refusals);
     auto list = replicas({ "a", "b", "c", "d", "e", "f" });
     list[1].state = static_cast<ReplicaState>(7);
     list[2].address = "nowhere";
@@ -96,46 +76,32 @@
     auto kept = written(memory, 2);
     CHECK(kept[0].id == "a");
     CHECK(kept[1].id == "f");
-    CHECK(refusals.count(Door::Memory) >= 4);
+    CHECK(at.refusals.count(Door::Memory) >= 4);
 }
 
 TEST_CASE("a disk that refuses writes is noted and ends nothing")
 {
-    Folder folder;
-    LogSettings settings;
-    EventLog log(settings, "test");
-    Refusals refusals(log);
-    ReplicaMemory memory(folder.path() + "/missing", log, refusals);
+    ControllerFolder at;
+    ReplicaMemory memory(at.folder.path() + "/missing", at.log, at.refusals);
     memory.save(replicas({ "a" }));
-    while (log.events("").empty())
+    while (at.log.events("").empty())
         std::this_thread::sleep_for(5ms);
-    CHECK(log.events("").front().code == EventCode::ReplicasForgotten);
+    CHECK(at.log.events("").front().code == EventCode::ReplicasForgotten);
 }
 
 TEST_CASE("requests that end replicas are remembered beside the replicas, each in its file")
 {
     // Symptom: after a site has lost its power a request that had been refused ends three replicas more.
-    Folder folder;
-    LogSettings settings;
-    EventLog log(settings, "test");
-    Refusals refusals(log);
-    ReplicaMemory replicaMemory(folder.path(), log, refusals);
-    CrashMemory memory(folder.path(), log, refusals);
+    ControllerFolder at;
+    ReplicaMemory replicaMemory(at.folder.path(), at.log, at.refusals);
+    CrashMemory memory(at.folder.path(), at.log, at.refusals);
     CHECK(memory.load().empty());
     replicaMemory.save(replicas({ "a" }));
     memory.save({ { RequestFingerprint(7), "i-1", ReplicaStart(5), 3s, 100ms }, { RequestFingerprint(7), "", {}, 3s, 100ms } });
     written(replicaMemory, 1);
-    for (;;) {
-        auto list = memory.load();
-        if (list.empty()) {
-            std::this_thread::sleep_for(5ms);
-            continue;
-        }
-        // The one without an id can't be used.
-        REQUIRE(list.size() == 1);
-        CHECK((list[0].request == RequestFingerprint(7)));
-        CHECK((list[0].run() == ReplicaRun { "i-1", ReplicaStart(5) }));
-        CHECK(list[0].age == 3s);
-        break;
-    }
+    // The one without an id can't be used.
+    auto list = written(memory, 1);
+    CHECK((list[0].request == RequestFingerprint(7)));
+    CHECK((list[0].run() == ReplicaRun { "i-1", ReplicaStart(5) }));
+    CHECK(list[0].age == 3s);
 }
--- a/test/correctness/RunTest.cpp
+++ b/test/correctness/RunTest.cpp
@@ -1,11 +1,11 @@
 /** \file
  * A replica that starts again under its id: what is believed of a run ends with it, and nothing of a former run counts for a newer.
  */
+#include "ControllerFolder.h"
 #include "Folder.h"
 #include "base/SystemClock.h"
 #include "connection/UpstreamPool.h"
 #include "message/Codec.h"
-#include "process/DiskMemory.h"
 #include "process/Registrar.h"
 #include "request/ReplicaTable.h"
 #include "version/DiskFile.h"
@@ -429,15 +429,10 @@
 {
     // Symptom: after a restart of the whole site a replica that had started again is sent to its former address. Sequence: a controller
     // that was down meanwhile remembers the former run with a higher count.
-    Folder folder;
-    LogSettings settings;
-    EventLog log(settings, "test");
-    Refusals refusals(log);
-    ReplicaMemory memory(folder.path(), log, refusals);
+    ControllerFolder at;
+    ReplicaMemory memory(at.folder.path(), at.log, at.refusals);
     memory.save({ announcement(first, 40) });
-    std::vector<Announcement> remembered;
-    while ((remembered = memory.load()).empty())
-        std::this_thread::sleep_for(5ms);
+    auto remembered = written(memory, 1);
     CHECK(remembered.front().start == first);
     ReplicaRegistry registry;
     registry.announce(announcement(second, 1), 0s, start);
@@ -446,17 +441,14 @@
 
 TEST_CASE("a list that a release without runs has written is read, as of runs before any other")
 {
-    Folder folder;
-    LogSettings settings;
-    EventLog log(settings, "test");
-    Refusals refusals(log);
+    ControllerFolder at;
     auto former = announcement(unsaid, 40);
     // As such a release packs an announcement: all fields but the last.
     msgpack::type::tuple<std::string, std::string, std::string, std::string, std::string, std::uint32_t, ReplicaState, UpstreamKind,
         Duration, std::uint64_t>
         fields { former.id, former.service, former.address, former.zone, "v1", 4, former.state, former.kind, Duration(0), 40 };
-    REQUIRE(disk::replaceFile(folder.path(), "replicas", disk::sealRecord(encodeValue(std::vector { fields }))));
-    auto remembered = ReplicaMemory(folder.path(), log, refusals).load();
+    REQUIRE(disk::replaceFile(at.folder.path(), "replicas", disk::sealRecord(encodeValue(std::vector { fields }))));
+    auto remembered = ReplicaMemory(at.folder.path(), at.log, at.refusals).load();
     REQUIRE(remembered.size() == 1);
     CHECK(remembered.front().sequence == 40);
     CHECK(remembered.front().start == unsaid);
