Decisions about requests: a folder each for the fleet, engines and the two routers

Cause: src/request/ held 88 files of four concerns in one flat folder, so nothing showed which parts the router that calls upstreams itself shares with the one through sidecars, and the accounts and quotas that come next had no place. No line of logic changes.

--- a/src/connection/CallerProtocol.cpp
+++ b/src/connection/CallerProtocol.cpp
@@ -1,6 +1,6 @@
 #include "connection/CallerProtocol.h"
 
-#include "request/PrefixIndex.h"
+#include "request/sidecar/PrefixIndex.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/connection/CallerProtocol.h
+++ b/src/connection/CallerProtocol.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "request/GatewayEvents.h"
+#include "request/sidecar/GatewayEvents.h"
 
 #include <string>
 
--- a/src/connection/CallerServer.h
+++ b/src/connection/CallerServer.h
@@ -10,7 +10,7 @@
 #include "connection/AccountBook.h"
 #include "connection/Asio.h"
 #include "connection/CallerSettings.h"
-#include "request/GatewayEvents.h"
+#include "request/sidecar/GatewayEvents.h"
 
 #include <atomic>
 #include <functional>
--- a/src/connection/UpstreamClient.h
+++ b/src/connection/UpstreamClient.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "connection/Asio.h"
-#include "request/SidecarEvents.h"
+#include "request/sidecar/SidecarEvents.h"
 
 #include <functional>
 #include <map>
--- a/src/process/CrashRelay.h
+++ b/src/process/CrashRelay.h
@@ -7,7 +7,7 @@
 
 #include "connection/PeerHub.h"
 #include "process/EventLog.h"
-#include "request/CrashExchange.h"
+#include "request/fleet/CrashExchange.h"
 
 #include <functional>
 
--- a/src/process/EngineSidecarRole.h
+++ b/src/process/EngineSidecarRole.h
@@ -9,7 +9,7 @@
 #include "process/AdminPages.h"
 #include "process/LogicDriver.h"
 #include "process/Runtime.h"
-#include "request/EngineAdmission.h"
+#include "request/engine/EngineAdmission.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/process/ForwardMetrics.h
+++ b/src/process/ForwardMetrics.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "process/TimeHistogram.h"
-#include "request/ForwardEffects.h"
+#include "request/forward/ForwardEffects.h"
 
 #include <map>
 #include <mutex>
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -16,8 +16,8 @@
 #include "process/ForwardMetrics.h"
 #include "process/LogicDriver.h"
 #include "process/Runtime.h"
-#include "request/ForwardLogic.h"
-#include "request/RequestFingerprint.h"
+#include "request/fleet/RequestFingerprint.h"
+#include "request/forward/ForwardLogic.h"
 #include "version/DocumentFollower.h"
 
 #include <algorithm>
--- a/src/process/GatewayRole.h
+++ b/src/process/GatewayRole.h
@@ -8,7 +8,7 @@
 #include "process/AdminPages.h"
 #include "process/LogicDriver.h"
 #include "process/Metrics.h"
-#include "request/GatewayLogic.h"
+#include "request/sidecar/GatewayLogic.h"
 
 namespace wrenhinge {
 
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "process/TimeHistogram.h"
-#include "request/GatewayEvents.h"
+#include "request/sidecar/GatewayEvents.h"
 
 #include <map>
 #include <mutex>
--- a/src/process/Registrar.h
+++ b/src/process/Registrar.h
@@ -13,8 +13,8 @@
 
 #include "connection/PeerHub.h"
 #include "process/EventLog.h"
-#include "request/RegistryFollower.h"
-#include "request/ReplicaRegistry.h"
+#include "request/fleet/RegistryFollower.h"
+#include "request/fleet/ReplicaRegistry.h"
 
 #include <optional>
 
--- a/src/process/RegistryBounds.h
+++ b/src/process/RegistryBounds.h
@@ -8,7 +8,7 @@
  */
 #pragma once
 
-#include "request/ReplicaRegistry.h"
+#include "request/fleet/ReplicaRegistry.h"
 
 #include <map>
 #include <optional>
--- a/src/process/SidecarRole.h
+++ b/src/process/SidecarRole.h
@@ -7,7 +7,7 @@
 #include "connection/UpstreamClient.h"
 #include "process/AdminPages.h"
 #include "process/LogicDriver.h"
-#include "request/SidecarLogic.h"
+#include "request/sidecar/SidecarLogic.h"
 
 namespace wrenhinge {
 
--- a/src/process/StageKeeper.h
+++ b/src/process/StageKeeper.h
@@ -8,7 +8,7 @@
 #include "base/SystemClock.h"
 #include "connection/UpstreamPool.h"
 #include "process/ControllerRole.h"
-#include "request/StageOrders.h"
+#include "request/engine/StageOrders.h"
 
 namespace wrenhinge {
 
--- a/src/request/AnswerLengths.cpp
+++ b/src/request/engine/AnswerLengths.cpp
@@ -1,4 +1,4 @@
-#include "request/AnswerLengths.h"
+#include "request/engine/AnswerLengths.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/request/EngineAdmission.cpp
+++ b/src/request/engine/EngineAdmission.cpp
@@ -1,4 +1,4 @@
-#include "request/EngineAdmission.h"
+#include "request/engine/EngineAdmission.h"
 
 #include <algorithm>
 
--- a/src/request/EngineAdmission.h
+++ b/src/request/engine/EngineAdmission.h
@@ -14,7 +14,7 @@
 
 #include "base/EventCode.h"
 #include "message/Messages.h"
-#include "request/MemoryForecast.h"
+#include "request/engine/MemoryForecast.h"
 
 #include <map>
 #include <optional>
--- a/src/request/EngineLoad.cpp
+++ b/src/request/engine/EngineLoad.cpp
@@ -1,4 +1,4 @@
-#include "request/EngineLoad.h"
+#include "request/engine/EngineLoad.h"
 
 #include <algorithm>
 
--- a/src/request/EngineSubset.cpp
+++ b/src/request/engine/EngineSubset.cpp
@@ -1,6 +1,6 @@
-#include "request/EngineSubset.h"
+#include "request/engine/EngineSubset.h"
 
-#include "request/ReplicaRegistry.h"
+#include "request/fleet/ReplicaRegistry.h"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/src/request/MemoryForecast.cpp
+++ b/src/request/engine/MemoryForecast.cpp
@@ -1,4 +1,4 @@
-#include "request/MemoryForecast.h"
+#include "request/engine/MemoryForecast.h"
 
 #include <algorithm>
 #include <array>
--- a/src/request/MemoryForecast.h
+++ b/src/request/engine/MemoryForecast.h
@@ -12,7 +12,7 @@
  */
 #pragma once
 
-#include "request/AnswerLengths.h"
+#include "request/engine/AnswerLengths.h"
 
 #include <cstdint>
 #include <span>
--- a/src/request/StageOrders.cpp
+++ b/src/request/engine/StageOrders.cpp
@@ -1,4 +1,4 @@
-#include "request/StageOrders.h"
+#include "request/engine/StageOrders.h"
 
 #include <algorithm>
 #include <array>
--- a/src/request/StageOrders.h
+++ b/src/request/engine/StageOrders.h
@@ -19,8 +19,8 @@
 #pragma once
 
 #include "base/EventCode.h"
-#include "request/ReplicaRegistry.h"
-#include "request/StagePlan.h"
+#include "request/engine/StagePlan.h"
+#include "request/fleet/ReplicaRegistry.h"
 
 #include <map>
 #include <optional>
--- a/src/request/StagePlan.cpp
+++ b/src/request/engine/StagePlan.cpp
@@ -1,4 +1,4 @@
-#include "request/StagePlan.h"
+#include "request/engine/StagePlan.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/request/CrashExchange.cpp
+++ b/src/request/fleet/CrashExchange.cpp
@@ -1,4 +1,4 @@
-#include "request/CrashExchange.h"
+#include "request/fleet/CrashExchange.h"
 
 #include <set>
 
--- a/src/request/CrashExchange.h
+++ b/src/request/fleet/CrashExchange.h
@@ -8,7 +8,7 @@
  */
 #pragma once
 
-#include "request/CrashTracker.h"
+#include "request/fleet/CrashTracker.h"
 
 namespace wrenhinge {
 
--- a/src/request/CrashTracker.cpp
+++ b/src/request/fleet/CrashTracker.cpp
@@ -1,4 +1,4 @@
-#include "request/CrashTracker.h"
+#include "request/fleet/CrashTracker.h"
 
 #include <algorithm>
 
--- a/src/request/CrashTracker.h
+++ b/src/request/fleet/CrashTracker.h
@@ -21,7 +21,7 @@
 #pragma once
 
 #include "message/Messages.h"
-#include "request/ReplicaRegistry.h"
+#include "request/fleet/ReplicaRegistry.h"
 
 #include <unordered_map>
 #include <vector>
--- a/src/request/RegistryFollower.cpp
+++ b/src/request/fleet/RegistryFollower.cpp
@@ -1,4 +1,4 @@
-#include "request/RegistryFollower.h"
+#include "request/fleet/RegistryFollower.h"
 
 namespace wrenhinge {
 
--- a/src/request/ReplicaRegistry.cpp
+++ b/src/request/fleet/ReplicaRegistry.cpp
@@ -1,4 +1,4 @@
-#include "request/ReplicaRegistry.h"
+#include "request/fleet/ReplicaRegistry.h"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/src/request/RequestFingerprint.cpp
+++ b/src/request/fleet/RequestFingerprint.cpp
@@ -1,4 +1,4 @@
-#include "request/RequestFingerprint.h"
+#include "request/fleet/RequestFingerprint.h"
 
 #include <xxhash.h>
 
--- a/src/request/SharedRetryBudget.cpp
+++ b/src/request/fleet/SharedRetryBudget.cpp
@@ -1,4 +1,4 @@
-#include "request/SharedRetryBudget.h"
+#include "request/fleet/SharedRetryBudget.h"
 
 namespace wrenhinge {
 
--- a/src/request/EventSplitter.cpp
+++ b/src/request/forward/EventSplitter.cpp
@@ -1,4 +1,4 @@
-#include "request/EventSplitter.h"
+#include "request/forward/EventSplitter.h"
 
 #include <charconv>
 
--- a/src/request/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -1,7 +1,7 @@
 /** \file
  * The part of ForwardLogic that is about answers: what is passed on, what is sent once more, and how a request ends.
  */
-#include "request/ForwardLogic.h"
+#include "request/forward/ForwardLogic.h"
 
 #include <algorithm>
 
--- a/src/request/ForwardCrashes.cpp
+++ b/src/request/forward/ForwardCrashes.cpp
@@ -1,7 +1,7 @@
 /** \file
  * The part of ForwardLogic that is about requests which crash the replicas that run them.
  */
-#include "request/ForwardLogic.h"
+#include "request/forward/ForwardLogic.h"
 
 namespace wrenhinge {
 
--- a/src/request/ForwardEngines.cpp
+++ b/src/request/forward/ForwardEngines.cpp
@@ -1,7 +1,7 @@
 /** \file
  * The part of ForwardLogic that chooses which engines this gateway uses, and keeps links to the sidecars beside these.
  */
-#include "request/ForwardLogic.h"
+#include "request/forward/ForwardLogic.h"
 
 namespace wrenhinge {
 
--- a/src/request/ForwardEvents.h
+++ b/src/request/forward/ForwardEvents.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include "message/Messages.h"
-#include "request/EngineRooms.h"
-#include "request/EventSplitter.h"
+#include "request/engine/EngineRooms.h"
+#include "request/forward/EventSplitter.h"
 #include "version/RoutingDocument.h"
 
 #include <optional>
--- a/src/request/ForwardFlow.h
+++ b/src/request/forward/ForwardFlow.h
@@ -3,9 +3,9 @@
  */
 #pragma once
 
-#include "request/ForwardEffects.h"
-#include "request/ForwardEvents.h"
-#include "request/PlaceQueue.h"
+#include "request/forward/ForwardEffects.h"
+#include "request/forward/ForwardEvents.h"
+#include "request/forward/PlaceQueue.h"
 
 #include <memory>
 #include <set>
--- a/src/request/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -1,4 +1,4 @@
-#include "request/ForwardLogic.h"
+#include "request/forward/ForwardLogic.h"
 
 #include <algorithm>
 
--- a/src/request/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -12,17 +12,17 @@
  */
 #pragma once
 
-#include "request/CrashTracker.h"
-#include "request/EngineLoad.h"
-#include "request/ForwardEffects.h"
-#include "request/ForwardEvents.h"
-#include "request/ForwardFlow.h"
-#include "request/LoadShedder.h"
-#include "request/PlaceQueue.h"
-#include "request/RegistryFollower.h"
-#include "request/ReplicaTable.h"
-#include "request/SharedRetryBudget.h"
-#include "request/StreamForecast.h"
+#include "request/engine/EngineLoad.h"
+#include "request/fleet/CrashTracker.h"
+#include "request/fleet/RegistryFollower.h"
+#include "request/fleet/SharedRetryBudget.h"
+#include "request/forward/ForwardEffects.h"
+#include "request/forward/ForwardEvents.h"
+#include "request/forward/ForwardFlow.h"
+#include "request/forward/LoadShedder.h"
+#include "request/forward/PlaceQueue.h"
+#include "request/forward/ReplicaTable.h"
+#include "request/forward/StreamForecast.h"
 
 #include <map>
 #include <memory>
--- a/src/request/ForwardPlaces.cpp
+++ b/src/request/forward/ForwardPlaces.cpp
@@ -1,7 +1,7 @@
 /** \file
  * The part of ForwardLogic that is about engines: a place at a decode replica first, then the prompt's prefill, then the run.
  */
-#include "request/ForwardLogic.h"
+#include "request/forward/ForwardLogic.h"
 
 #include <algorithm>
 
--- a/src/request/LoadShedder.cpp
+++ b/src/request/forward/LoadShedder.cpp
@@ -1,4 +1,4 @@
-#include "request/LoadShedder.h"
+#include "request/forward/LoadShedder.h"
 
 #include <algorithm>
 
--- a/src/request/PlaceQueue.cpp
+++ b/src/request/forward/PlaceQueue.cpp
@@ -1,4 +1,4 @@
-#include "request/PlaceQueue.h"
+#include "request/forward/PlaceQueue.h"
 
 #include <algorithm>
 
--- a/src/request/ReplicaTable.cpp
+++ b/src/request/forward/ReplicaTable.cpp
@@ -1,4 +1,4 @@
-#include "request/ReplicaTable.h"
+#include "request/forward/ReplicaTable.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/request/ReplicaTable.h
+++ b/src/request/forward/ReplicaTable.h
@@ -11,9 +11,9 @@
  */
 #pragma once
 
-#include "request/EngineRooms.h"
-#include "request/EngineSubset.h"
-#include "request/ReplicaRegistry.h"
+#include "request/engine/EngineRooms.h"
+#include "request/engine/EngineSubset.h"
+#include "request/fleet/ReplicaRegistry.h"
 
 #include <map>
 #include <optional>
--- a/src/request/StreamForecast.cpp
+++ b/src/request/forward/StreamForecast.cpp
@@ -1,4 +1,4 @@
-#include "request/StreamForecast.h"
+#include "request/forward/StreamForecast.h"
 
 #include <algorithm>
 
--- a/src/request/AccountLimits.cpp
+++ b/src/request/sidecar/AccountLimits.cpp
@@ -1,4 +1,4 @@
-#include "request/AccountLimits.h"
+#include "request/sidecar/AccountLimits.h"
 
 #include <algorithm>
 
--- a/src/request/AdmissionLedger.cpp
+++ b/src/request/sidecar/AdmissionLedger.cpp
@@ -1,4 +1,4 @@
-#include "request/AdmissionLedger.h"
+#include "request/sidecar/AdmissionLedger.h"
 
 namespace wrenhinge {
 
--- a/src/request/DecodeAdmission.cpp
+++ b/src/request/sidecar/DecodeAdmission.cpp
@@ -1,4 +1,4 @@
-#include "request/DecodeAdmission.h"
+#include "request/sidecar/DecodeAdmission.h"
 
 #include <algorithm>
 
--- a/src/request/DecodeAdmission.h
+++ b/src/request/sidecar/DecodeAdmission.h
@@ -16,9 +16,9 @@
  */
 #pragma once
 
-#include "request/LinearCost.h"
-#include "request/SlotForecast.h"
-#include "request/Work.h"
+#include "request/sidecar/LinearCost.h"
+#include "request/sidecar/SlotForecast.h"
+#include "request/sidecar/Work.h"
 
 #include <algorithm>
 #include <optional>
--- a/src/request/GatewayContext.cpp
+++ b/src/request/sidecar/GatewayContext.cpp
@@ -1,4 +1,4 @@
-#include "request/GatewayContext.h"
+#include "request/sidecar/GatewayContext.h"
 
 #include <algorithm>
 
--- a/src/request/GatewayContext.h
+++ b/src/request/sidecar/GatewayContext.h
@@ -4,12 +4,12 @@
 #pragma once
 
 #include "base/Safeguards.h"
-#include "request/AccountLimits.h"
-#include "request/CrashTracker.h"
-#include "request/GatewayEvents.h"
-#include "request/Placement.h"
-#include "request/RetryBudget.h"
-#include "request/UpstreamTable.h"
+#include "request/fleet/CrashTracker.h"
+#include "request/sidecar/AccountLimits.h"
+#include "request/sidecar/GatewayEvents.h"
+#include "request/sidecar/Placement.h"
+#include "request/sidecar/RetryBudget.h"
+#include "request/sidecar/UpstreamTable.h"
 #include "version/ConfigFollower.h"
 #include "version/ControllerClient.h"
 
--- a/src/request/GatewayLogic.cpp
+++ b/src/request/sidecar/GatewayLogic.cpp
@@ -1,6 +1,6 @@
-#include "request/GatewayLogic.h"
+#include "request/sidecar/GatewayLogic.h"
 
-#include "request/RequestFingerprint.h"
+#include "request/fleet/RequestFingerprint.h"
 
 #include <xxhash.h>
 
--- a/src/request/GatewayLogic.h
+++ b/src/request/sidecar/GatewayLogic.h
@@ -5,9 +5,9 @@
  */
 #pragma once
 
-#include "request/GatewayContext.h"
-#include "request/GenerationFlow.h"
-#include "request/PlainFlow.h"
+#include "request/sidecar/GatewayContext.h"
+#include "request/sidecar/GenerationFlow.h"
+#include "request/sidecar/PlainFlow.h"
 
 namespace wrenhinge {
 
--- a/src/request/GenerationFlow.cpp
+++ b/src/request/sidecar/GenerationFlow.cpp
@@ -1,4 +1,4 @@
-#include "request/GenerationFlow.h"
+#include "request/sidecar/GenerationFlow.h"
 
 #include <algorithm>
 
--- a/src/request/GenerationFlow.h
+++ b/src/request/sidecar/GenerationFlow.h
@@ -10,7 +10,7 @@
  */
 #pragma once
 
-#include "request/GatewayContext.h"
+#include "request/sidecar/GatewayContext.h"
 
 namespace wrenhinge {
 
--- a/src/request/LinearCost.cpp
+++ b/src/request/sidecar/LinearCost.cpp
@@ -1,4 +1,4 @@
-#include "request/LinearCost.h"
+#include "request/sidecar/LinearCost.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/request/Placement.cpp
+++ b/src/request/sidecar/Placement.cpp
@@ -1,4 +1,4 @@
-#include "request/Placement.h"
+#include "request/sidecar/Placement.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/request/Placement.h
+++ b/src/request/sidecar/Placement.h
@@ -7,8 +7,8 @@
  */
 #pragma once
 
-#include "request/PrefixIndex.h"
-#include "request/UpstreamTable.h"
+#include "request/sidecar/PrefixIndex.h"
+#include "request/sidecar/UpstreamTable.h"
 
 #include <random>
 #include <set>
--- a/src/request/PlainFlow.cpp
+++ b/src/request/sidecar/PlainFlow.cpp
@@ -1,4 +1,4 @@
-#include "request/PlainFlow.h"
+#include "request/sidecar/PlainFlow.h"
 
 #include <algorithm>
 
--- a/src/request/PlainFlow.h
+++ b/src/request/sidecar/PlainFlow.h
@@ -13,7 +13,7 @@
  */
 #pragma once
 
-#include "request/GatewayContext.h"
+#include "request/sidecar/GatewayContext.h"
 
 namespace wrenhinge {
 
--- a/src/request/PrefixIndex.cpp
+++ b/src/request/sidecar/PrefixIndex.cpp
@@ -1,4 +1,4 @@
-#include "request/PrefixIndex.h"
+#include "request/sidecar/PrefixIndex.h"
 
 #include <algorithm>
 
--- a/src/request/QueueAdmission.cpp
+++ b/src/request/sidecar/QueueAdmission.cpp
@@ -1,4 +1,4 @@
-#include "request/QueueAdmission.h"
+#include "request/sidecar/QueueAdmission.h"
 
 #include <algorithm>
 
--- a/src/request/QueueAdmission.h
+++ b/src/request/sidecar/QueueAdmission.h
@@ -6,8 +6,8 @@
  */
 #pragma once
 
-#include "request/LinearCost.h"
-#include "request/Work.h"
+#include "request/sidecar/LinearCost.h"
+#include "request/sidecar/Work.h"
 
 namespace wrenhinge {
 
--- a/src/request/RetryBudget.cpp
+++ b/src/request/sidecar/RetryBudget.cpp
@@ -1,4 +1,4 @@
-#include "request/RetryBudget.h"
+#include "request/sidecar/RetryBudget.h"
 
 #include <algorithm>
 
--- a/src/request/SidecarLogic.cpp
+++ b/src/request/sidecar/SidecarLogic.cpp
@@ -1,4 +1,4 @@
-#include "request/SidecarLogic.h"
+#include "request/sidecar/SidecarLogic.h"
 
 #include <algorithm>
 
--- a/src/request/SidecarLogic.h
+++ b/src/request/sidecar/SidecarLogic.h
@@ -8,11 +8,11 @@
 #pragma once
 
 #include "base/Safeguards.h"
-#include "request/AdmissionLedger.h"
-#include "request/DecodeAdmission.h"
-#include "request/QueueAdmission.h"
-#include "request/SidecarEvents.h"
-#include "request/Work.h"
+#include "request/sidecar/AdmissionLedger.h"
+#include "request/sidecar/DecodeAdmission.h"
+#include "request/sidecar/QueueAdmission.h"
+#include "request/sidecar/SidecarEvents.h"
+#include "request/sidecar/Work.h"
 #include "version/ConfigFollower.h"
 
 #include <map>
--- a/src/request/SidecarService.cpp
+++ b/src/request/sidecar/SidecarService.cpp
@@ -1,7 +1,7 @@
 /** \file
  * The part of SidecarLogic that serves: who waits, who starts, who is granted a slot, and who is refused.
  */
-#include "request/SidecarLogic.h"
+#include "request/sidecar/SidecarLogic.h"
 
 #include <algorithm>
 
--- a/src/request/SlotForecast.cpp
+++ b/src/request/sidecar/SlotForecast.cpp
@@ -1,4 +1,4 @@
-#include "request/SlotForecast.h"
+#include "request/sidecar/SlotForecast.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/request/UpstreamTable.cpp
+++ b/src/request/sidecar/UpstreamTable.cpp
@@ -1,4 +1,4 @@
-#include "request/UpstreamTable.h"
+#include "request/sidecar/UpstreamTable.h"
 
 #include <algorithm>
 
--- a/src/request/Work.cpp
+++ b/src/request/sidecar/Work.cpp
@@ -1,4 +1,4 @@
-#include "request/Work.h"
+#include "request/sidecar/Work.h"
 
 namespace wrenhinge {
 
--- a/src/request/Work.h
+++ b/src/request/sidecar/Work.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "request/SidecarEvents.h"
+#include "request/sidecar/SidecarEvents.h"
 
 #include <compare>
 #include <cstdint>
--- a/test/correctness/AdmissionTest.cpp
+++ b/test/correctness/AdmissionTest.cpp
@@ -1,8 +1,8 @@
 /** \file
  * Who may use an engine's memory: what is learnt of answers' lengths, the forecast, and the sidecar that admits by it.
  */
-#include "request/EngineAdmission.h"
-#include "request/LoadShedder.h"
+#include "request/engine/EngineAdmission.h"
+#include "request/forward/LoadShedder.h"
 
 #include <doctest/doctest.h>
 #include <queue>
--- a/test/correctness/CrashTest.cpp
+++ b/test/correctness/CrashTest.cpp
@@ -1,8 +1,8 @@
 /** \file
  * Which requests are taken to crash the replicas that run them, and which are not.
  */
-#include "request/CrashExchange.h"
-#include "request/RequestFingerprint.h"
+#include "request/fleet/CrashExchange.h"
+#include "request/fleet/RequestFingerprint.h"
 
 #include <algorithm>
 #include <array>
--- a/test/correctness/EngineSubsetTest.cpp
+++ b/test/correctness/EngineSubsetTest.cpp
@@ -1,9 +1,9 @@
 /** \file
  * Which engines a gateway uses: balance, stability, zones, and what takes the place of engines that are gone.
  */
-#include "request/EngineSubset.h"
-#include "request/ForwardLogic.h"
-#include "request/ReplicaRegistry.h"
+#include "request/engine/EngineSubset.h"
+#include "request/fleet/ReplicaRegistry.h"
+#include "request/forward/ForwardLogic.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/test/correctness/EstimateTest.cpp
+++ b/test/correctness/EstimateTest.cpp
@@ -3,10 +3,10 @@
  */
 #include "base/HybridClock.h"
 #include "base/Units.h"
-#include "request/LinearCost.h"
-#include "request/PrefixIndex.h"
-#include "request/QueueAdmission.h"
-#include "request/SlotForecast.h"
+#include "request/sidecar/LinearCost.h"
+#include "request/sidecar/PrefixIndex.h"
+#include "request/sidecar/QueueAdmission.h"
+#include "request/sidecar/SlotForecast.h"
 
 #include <doctest/doctest.h>
 
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -1,7 +1,7 @@
 /** \file
  * The decisions of a gateway that calls upstreams itself, one event at a time and without a network.
  */
-#include "request/ForwardLogic.h"
+#include "request/forward/ForwardLogic.h"
 
 #include <doctest/doctest.h>
 
--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -5,7 +5,7 @@
 #include "connection/HttpServer.h"
 #include "connection/HttpText.h"
 #include "connection/UpstreamPool.h"
-#include "request/EventSplitter.h"
+#include "request/forward/EventSplitter.h"
 
 #include <doctest/doctest.h>
 #include <future>
--- a/test/correctness/LedgerTest.cpp
+++ b/test/correctness/LedgerTest.cpp
@@ -2,9 +2,9 @@
  * At most once: AdmissionLedger at the sidecar, Ledger in the replicated state, and the messages that must not start work.
  */
 #include "version/Ledger.h"
-#include "request/AdmissionLedger.h"
-#include "request/GatewayLogic.h"
-#include "request/SidecarLogic.h"
+#include "request/sidecar/AdmissionLedger.h"
+#include "request/sidecar/GatewayLogic.h"
+#include "request/sidecar/SidecarLogic.h"
 
 #include <doctest/doctest.h>
 
--- a/test/correctness/LimitsTest.cpp
+++ b/test/correctness/LimitsTest.cpp
@@ -1,9 +1,9 @@
 /** \file
  * Who may send how much: AccountLimits, RetryBudget; and who gets the work: UpstreamTable, Placement.
  */
-#include "request/AccountLimits.h"
-#include "request/Placement.h"
-#include "request/RetryBudget.h"
+#include "request/sidecar/AccountLimits.h"
+#include "request/sidecar/Placement.h"
+#include "request/sidecar/RetryBudget.h"
 
 #include <doctest/doctest.h>
 #include <map>
--- a/test/correctness/RegistryTest.cpp
+++ b/test/correctness/RegistryTest.cpp
@@ -2,9 +2,9 @@
  * How processes come to know the same replicas: heartbeats that name only what was not renewed, digests, and lists.
  */
 #include "message/Codec.h"
-#include "request/ForwardLogic.h"
-#include "request/RegistryFollower.h"
-#include "request/ReplicaRegistry.h"
+#include "request/fleet/RegistryFollower.h"
+#include "request/fleet/ReplicaRegistry.h"
+#include "request/forward/ForwardLogic.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/test/correctness/ReplicaTest.cpp
+++ b/test/correctness/ReplicaTest.cpp
@@ -1,9 +1,9 @@
 /** \file
  * What is learnt of replicas: announcements, placement, the retry budget, and the queue for places.
  */
-#include "request/PlaceQueue.h"
-#include "request/ReplicaTable.h"
-#include "request/SharedRetryBudget.h"
+#include "request/fleet/SharedRetryBudget.h"
+#include "request/forward/PlaceQueue.h"
+#include "request/forward/ReplicaTable.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/test/correctness/RunTest.cpp
+++ b/test/correctness/RunTest.cpp
@@ -7,7 +7,7 @@
 #include "connection/UpstreamPool.h"
 #include "message/Codec.h"
 #include "process/Registrar.h"
-#include "request/ReplicaTable.h"
+#include "request/forward/ReplicaTable.h"
 #include "version/DiskFile.h"
 
 #include <array>
--- a/test/correctness/StageTest.cpp
+++ b/test/correctness/StageTest.cpp
@@ -1,10 +1,10 @@
 /** \file
  * Engines that change their stage: what gateways report, what is planned, and that two controllers never order in turns.
  */
-#include "request/EngineLoad.h"
-#include "request/ReplicaTable.h"
-#include "request/StageOrders.h"
-#include "request/StagePlan.h"
+#include "request/engine/EngineLoad.h"
+#include "request/engine/StageOrders.h"
+#include "request/engine/StagePlan.h"
+#include "request/forward/ReplicaTable.h"
 
 #include <doctest/doctest.h>
 
--- a/test/correctness/StreamForecastTest.cpp
+++ b/test/correctness/StreamForecastTest.cpp
@@ -1,7 +1,7 @@
 /** \file
  * How long streams are taken to last, and which of them a gateway that stops refuses.
  */
-#include "request/StreamForecast.h"
+#include "request/forward/StreamForecast.h"
 
 #include <doctest/doctest.h>
 #include <random>
--- a/test/performance/DecideBench.cpp
+++ b/test/performance/DecideBench.cpp
@@ -1,7 +1,7 @@
 /** \file
  * `make bench-decide`: time, allocations and memory of a placement decision against the number of replicas.
  */
-#include "request/Placement.h"
+#include "request/sidecar/Placement.h"
 
 #include <algorithm>
 #include <atomic>
--- a/test/support/FakeEngine.h
+++ b/test/support/FakeEngine.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "VirtualTime.h"
-#include "request/SidecarEvents.h"
+#include "request/sidecar/SidecarEvents.h"
 
 #include <deque>
 #include <functional>
--- a/test/support/World.h
+++ b/test/support/World.h
@@ -9,8 +9,8 @@
 #pragma once
 
 #include "FakeEngine.h"
-#include "request/GatewayLogic.h"
-#include "request/SidecarLogic.h"
+#include "request/sidecar/GatewayLogic.h"
+#include "request/sidecar/SidecarLogic.h"
 #include "version/ControllerLogic.h"
 
 #include <functional>
