Quotas over cuts and returns: what the property test found

Cause, each shown by a shrunk schedule of QuotaTest: an account that was idle before a cut was shared out by the first request after it, so that each side set an eighth aside (2 gateways, one a side); gateways that came back told nothing of what they had used alone, and the controller took a hot account for a calm one (6 gateways, all cut off from the only controller). Change: what is idle is shared alike; use that no controller heard is kept, up to a part of the bucket, and told on return; silence is found after 1.1 to 1.3 s. Operators: page /accounts and metrics of a gateway, wrenhinge accounts (limit, use, left, refused, gateways that hear of no others).

--- a/scripts/wrenhinge-completion.bash
+++ b/scripts/wrenhinge-completion.bash
@@ -7,7 +7,7 @@
     config) mapfile -t COMPREPLY < <(compgen -W "check diff apply show history status" -- "$word") ;;
     request) mapfile -t COMPREPLY < <(compgen -W "explain" -- "$word") ;;
     check | diff | apply) mapfile -t COMPREPLY < <(compgen -f -- "$word") ;;
-    *) mapfile -t COMPREPLY < <(compgen -W "status upstream config request timeline metrics --admin --json --number --change-id --author --help --version" -- "$word") ;;
+    *) mapfile -t COMPREPLY < <(compgen -W "status accounts upstream config request timeline metrics --admin --json --number --change-id --author --help --version" -- "$word") ;;
     esac
 }
 complete -F _wrenhinge wrenhinge
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -479,6 +479,8 @@
             return AdminPages::json(status());
         if (request.path == "/upstreams")
             return AdminPages::json(upstreams());
+        if (request.path == "/accounts")
+            return AdminPages::json(accounts());
         if (request.path != "/metrics")
             return AdminPages::notFound(request.path);
         m_driver.inspect([this](const ForwardLogic& logic) {
@@ -486,8 +488,9 @@
             m_metrics.setGauge("wrenhinge_log_lines_left_out", static_cast<double>(m_runtime.log().linesLeftOut()));
             m_metrics.setGauge("wrenhinge_engines_used", static_cast<double>(logic.replicas().subset().ids().size()));
             m_metrics.setGauge("wrenhinge_document_version", static_cast<double>(logic.documentVersion()));
+            m_metrics.setGauge("wrenhinge_keys_refused_total", static_cast<double>(logic.refusedKeys()));
         });
-        return { 200, "text/plain; version=0.0.4", m_metrics.text() + m_runtime.refusals().metrics() };
+        return { 200, "text/plain; version=0.0.4", m_metrics.text() + accountMetrics() + m_runtime.refusals().metrics() };
     }
 
     nlohmann::json status()
@@ -505,6 +508,43 @@
         return json;
     }
 
+    /// What client accounts use of their limits, as this gateway knows it, in the form that `wrenhinge accounts` reads.
+    nlohmann::json accounts()
+    {
+        return m_driver.modify([](ForwardLogic& logic) {
+            auto now = currentInstant();
+            auto list = nlohmann::json::array();
+            for (auto& [name, quota] : logic.quotas().accounts()) {
+                auto use = quota.use(now);
+                list.push_back({ { "name", name }, { "unit", nameOf(quota.rule().unit) }, { "limit_per_second", quota.rule().perSecond },
+                    { "burst", quota.rule().burst }, { "used_here_per_second", use.ownPerSecond },
+                    { "used_elsewhere_per_second", use.othersPerSecond }, { "left", use.left }, { "hears_others", !use.isAlone },
+                    { "admitted", quota.admitted() }, { "refused", quota.refused() } });
+            }
+            return list;
+        });
+    }
+
+    /// Of so many accounts as a metrics page can bear: those with the most refusals, and then with the most requests.
+    std::string accountMetrics()
+    {
+        constexpr std::size_t mostAccounts = 50;
+        return m_driver.modify([](ForwardLogic& logic) {
+            std::vector<std::tuple<std::uint64_t, std::uint64_t, std::string>> busiest;
+            for (const auto& [name, quota] : logic.quotas().accounts())
+                busiest.emplace_back(quota.refused(), quota.admitted(), name);
+            auto shown = std::min(mostAccounts, busiest.size());
+            std::partial_sort(busiest.begin(), busiest.begin() + static_cast<std::ptrdiff_t>(shown), busiest.end(), std::greater<>());
+            std::string out;
+            for (std::size_t i = 0; i < shown; ++i) {
+                const auto& [refused, admitted, name] = busiest[i];
+                out += "wrenhinge_account_requests_total{account=\"" + name + "\",verdict=\"admitted\"} " + std::to_string(admitted) + "\n";
+                out += "wrenhinge_account_requests_total{account=\"" + name + "\",verdict=\"refused\"} " + std::to_string(refused) + "\n";
+            }
+            return out;
+        });
+    }
+
     /// The replicas as this gateway knows them, in the form that `wrenhinge upstream list` reads.
     nlohmann::json upstreams() const
     {
--- a/src/request/fleet/AccountQuota.cpp
+++ b/src/request/fleet/AccountQuota.cpp
@@ -8,7 +8,6 @@
 
     double partAlone(double limit, double own, double all, std::uint32_t gateways)
     {
-        constexpr double partOfUse = 0.75;
         if (gateways <= 1)
             return limit;
         auto byUse = std::min(limit, all > 0 ? limit * own / all : own / busyPart);
@@ -163,12 +162,23 @@
 
 double AccountQuota::takeUnreported() { return std::exchange(m_unreported, 0); }
 
+void AccountQuota::keepUnreported(Instant now)
+{
+    setContact(false, m_gateways, now);
+    m_unreported = std::min(m_unreported, depth() / m_gateways);
+}
+
 double AccountQuota::reportBeyond() const
 {
     constexpr double partUnreported = 1.0 / 8;
     return depth() * partUnreported / m_gateways;
 }
 
+AccountQuota::Use AccountQuota::use(Instant now)
+{
+    return { m_own.perSecond(now), m_othersPerSecond, isLimited() ? left(now) : 0, isAlone(now) };
+}
+
 double AccountQuota::left(Instant now)
 {
     fill(now);
--- a/src/request/fleet/AccountQuota.h
+++ b/src/request/fleet/AccountQuota.h
@@ -37,8 +37,11 @@
     /// What a process uses is taken over this time when it has to go on alone.
     inline constexpr Duration shareMemory = 4s;
 
-    /// The part of a limit that a gateway may use which the others don't hear, and that they set aside for it: by its use, and a quarter
-    /// to all alike, since callers come to other gateways when theirs is gone. The parts of all add up to the limit at most.
+    /// The rest goes to all gateways alike, since callers come to other gateways when theirs is gone.
+    inline constexpr double partOfUse = 0.75;
+
+    /// The part of a limit that a gateway may use which the others don't hear, and that they set aside for it: by its use, and a rest
+    /// to all alike. The parts of all add up to the limit at most.
     /// \param own what it used a second, of \param all that all used; zero: not known here, and less than `busyPart` of the limit.
     double partAlone(double limit, double own, double all, std::uint32_t gateways);
 
@@ -69,6 +72,8 @@
 
     /// What was used here since the last call.
     double takeUnreported();
+    /// No controller hears of it: keeps as much as the others' buckets may lose by all gateways that come back together.
+    void keepUnreported(Instant now);
     [[nodiscard]] double unreported() const { return m_unreported; }
     /// Use beyond this is reported at once: unreported at all gateways, it is a small part of the bucket.
     [[nodiscard]] double reportBeyond() const;
@@ -83,13 +88,21 @@
     }
     /// It uses more than its part, so the others' use should be told.
     [[nodiscard]] bool asksForTotal() const { return m_askedAt.has_value() || m_isPressing; }
+    /// What is known of the account's use here; for operators.
+    struct Use {
+        double ownPerSecond = 0;
+        double othersPerSecond = 0; ///< Zero unless the account is busy: nobody is told of it then.
+        double left = 0;
+        bool isAlone = false; ///< No controller tells of the others.
+    };
+    [[nodiscard]] Use use(Instant now);
     [[nodiscard]] std::optional<Instant> toldAt() const { return m_toldAt == Instant() ? std::nullopt : std::optional(m_toldAt); }
     [[nodiscard]] std::uint64_t admitted() const { return m_admitted; }
     [[nodiscard]] std::uint64_t refused() const { return m_refused; }
 
 private:
     /// Several tellings were lost, or their sender is cut off.
-    static constexpr Duration totalsLate = 350ms;
+    static constexpr Duration totalsLate = 300ms;
     /// A gateway that has just come hears of the others within this time, and may then have room.
     static constexpr Duration untilTold = 250ms;
     /// The part of what is allowed beyond the limit that the bucket is deeper by. The rest is for what is admitted before all know of it.
@@ -97,7 +110,7 @@
     /// The part of the slack that a bucket holds at first: a gateway that has just started does not know what was used before.
     static constexpr double startPart = 1.0 / 32;
     /// The part of it that all gateways may use beyond their parts before they ask how much the others use: a request or so each.
-    static constexpr double mostUnheardPart = 0.2;
+    static constexpr double mostUnheardPart = 0.1;
     /// The part of it that is not set aside for gateways that are not heard: what these use for a moment is borne by the excess.
     static constexpr double sparePart = 1.0 / 64;
 
--- a/src/request/fleet/AccountQuotas.cpp
+++ b/src/request/fleet/AccountQuotas.cpp
@@ -105,6 +105,14 @@
         m_teller = m_formerTeller;
 }
 
+/// Nobody would hear of it. What was used shortly before somebody does is told then.
+void AccountQuotas::keepUnreported(Instant now)
+{
+    for (auto& [name, quota] : m_accounts)
+        quota.keepUnreported(now);
+    m_reportAt = now + reportEvery;
+}
+
 std::optional<AccountQuotas::Report> AccountQuotas::report(Instant now)
 {
     if (m_accounts.empty() || m_reportAt > now)
@@ -115,6 +123,10 @@
     if (isWhole)
         m_reportedAt = now;
     bool isHearingNow = isHearing(now);
+    if (!isHearingNow) {
+        keepUnreported(now);
+        return std::nullopt;
+    }
     for (auto& [name, quota] : m_accounts) {
         quota.setContact(isHearingNow, m_gateways, now);
         bool isDue = isWhole ? quota.unreported() != 0 : quota.unreported() > quota.reportBeyond();
--- a/src/request/fleet/AccountQuotas.h
+++ b/src/request/fleet/AccountQuotas.h
@@ -17,7 +17,7 @@
 class AccountQuotas {
 public:
     /// A controller that was heard of within this time is reached: its heartbeats come once a second.
-    static constexpr Duration contactLasts = 1500ms;
+    static constexpr Duration contactLasts = 1300ms;
     /// What was used is reported this often at least; soon after it has become much.
     static constexpr Duration reportEvery = 500ms;
     static constexpr Duration reportSoon = 20ms;
@@ -59,6 +59,7 @@
 private:
     AccountQuota* find(const std::string& account, Instant now);
     void chooseTeller(Instant now);
+    void keepUnreported(Instant now);
 
     QuotaSettings m_settings;
     std::string m_gateway;
--- a/src/request/fleet/QuotaExchange.cpp
+++ b/src/request/fleet/QuotaExchange.cpp
@@ -33,7 +33,10 @@
     for (const auto& [id, share] : gateway.shares) {
         const auto& account = m_accounts[id];
         auto own = share.rate.perSecond(gateway.heardAt);
-        lost.parts[id] = quota::partAlone(account.limit, own, std::max(own, account.rateAtMarks[marksAgo]), n);
+        auto all = std::max(own, account.rateAtMarks[marksAgo]);
+        // By next to no use, the first request after a pause would decide who has the whole limit.
+        bool isIdle = all < idlePart * account.limit;
+        lost.parts[id] = isIdle ? account.limit / n : quota::partAlone(account.limit, own, all, n);
     }
     m_lost[gateway.name] = std::move(lost);
 }
@@ -100,7 +103,8 @@
     double sum = 0;
     for (const auto& [name, lost] : m_lost) {
         auto it = lost.parts.find(id);
-        sum += it != lost.parts.end() ? it->second : quota::partAlone(account.limit, 0, 0, gateways());
+        auto byOthers = account.rate.perSecond(lost.at) < idlePart * account.limit ? 1 : 1 - quota::partOfUse;
+        sum += it != lost.parts.end() ? it->second : byOthers * account.limit / gateways();
     }
     return std::min(sum, account.limit);
 }
--- a/src/request/fleet/QuotaExchange.h
+++ b/src/request/fleet/QuotaExchange.h
@@ -27,7 +27,7 @@
     /// gateways that is missing is less harm than one that nobody gets.
     static constexpr Duration reserveFor = 60s;
     /// A gateway reports twice a second at least; one that has missed two of them is not heard.
-    static constexpr Duration silentAfter = 1200ms;
+    static constexpr Duration silentAfter = 1100ms;
 
     void linked(PeerId gateway, const std::string& name);
     void gone(PeerId gateway, Instant now);
@@ -41,6 +41,8 @@
     /// Use is kept apart from this time on, so that a gateway that was not told lately can be told of the last moments alone.
     static constexpr Duration markEvery = 250ms;
     static constexpr Duration busyMemory = 500ms;
+    /// An account that uses less than this part of its limit is shared out alike to all gateways.
+    static constexpr double idlePart = 0.01;
     /// An account that was busy, or that a gateway asked for, is told of for this long: it would change with every request else.
     static constexpr Duration busyLasts = 1s;
 
--- a/src/tool/Commands.cpp
+++ b/src/tool/Commands.cpp
@@ -58,6 +58,8 @@
         return usage("give --admin IP:PORT or set WRENHINGE_ADMIN");
     if (command == "status" && words.size() == 1)
         return runStatus(options);
+    if (command == "accounts" && words.size() == 1)
+        return runAccounts(options);
     if (command == "upstream")
         return runUpstream(options, words);
     if (command == "timeline" && words.size() == 1)
--- a/src/tool/Commands.h
+++ b/src/tool/Commands.h
@@ -32,6 +32,7 @@
 
 // One file each.
 int runStatus(const Options&);
+int runAccounts(const Options&);
 int runUpstream(const Options&, const Words&);
 int runConfig(const Options&, const Words&);
 int runTimeline(const Options&, const std::string& request);
--- a/src/version/RoutingDocument.cpp
+++ b/src/version/RoutingDocument.cpp
@@ -48,6 +48,8 @@
 
 } // namespace
 
+std::string_view nameOf(QuotaRule::Unit unit) { return unit == QuotaRule::Unit::Tokens ? "tokens" : "requests"; }
+
 Result<void> validate(const RoutingDocument& document)
 {
     std::set<std::string> services;
--- a/src/version/RoutingDocument.h
+++ b/src/version/RoutingDocument.h
@@ -84,6 +84,8 @@
     bool operator==(const QuotaRule&) const = default;
 };
 
+std::string_view nameOf(QuotaRule::Unit);
+
 struct AccountRule {
     std::string name;
     std::vector<SecretDigest> keys; ///< Of each key that its callers may show.
