The engine's sidecar judges by how its grants end

Change: a gateway tells the sidecar of a reservation that broke with nothing come of it; after three in a row from two gateways at least the sidecar grants nothing, then one request at a time, until one comes to its end or the engine starts again. Whole ends between them, one gateway alone, a cut that some feel leave the engine in use. Tests: AdmissionTest, four cases.

--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -601,7 +601,8 @@
 struct ReservationEnd {
     RequestId request;
     bool isWhole = false; ///< Its answer came to its end.
-    MSGPACK_DEFINE(request, isWhole)
+    bool isBroken = false; ///< It was sent there and nothing came of it.
+    MSGPACK_DEFINE(request, isWhole, isBroken)
 };
 
 /// From a gateway to a sidecar: a prefill was sent to its engine, or has ended there.
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -25,6 +25,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <tuple>
 #include <unordered_map>
 
 namespace wrenhinge {
@@ -349,7 +350,7 @@
 
     void carry(forward::NotePrefill& note) { m_hub.send(note.sidecar, PrefillNotice { note.id, note.promptTokens, note.hasEnded }); }
 
-    void carry(forward::EndReservation& end) { m_hub.send(end.sidecar, ReservationEnd { end.id, end.isWhole }); }
+    void carry(forward::EndReservation& end) { m_hub.send(end.sidecar, ReservationEnd { end.id, end.isWhole, end.isBroken }); }
 
     void carry(forward::DropPlace& drop) { tell(drop.place.replica, drop.place.address, Dialect::dropPlace(drop.place)); }
 
@@ -528,7 +529,7 @@
     /// Of so many accounts as a metrics page can bear: those with the most refusals, and then with the most requests.
     std::string accountMetrics()
     {
-        constexpr std::size_t mostAccounts = 50;
+        static constexpr std::size_t mostAccounts = 50;
         return m_driver.modify([](ForwardLogic& logic) {
             std::vector<std::tuple<std::uint64_t, std::uint64_t, std::string>> busiest;
             for (const auto& [name, quota] : logic.quotas().accounts())
--- a/src/request/engine/EngineAdmission.cpp
+++ b/src/request/engine/EngineAdmission.cpp
@@ -49,6 +49,7 @@
     bool isGranted = fits(use, asked.slots, now);
     if (isGranted) {
         m_runs[asked.run] = Run { asked.request, event.gateway, use, now };
+        m_trust.tried(asked.request, now);
         updateRoom(now);
     }
     m_effects.push_back(Tell { event.gateway, ReservationReply { asked.request, asked.attempt, isGranted, m_room } });
@@ -61,10 +62,26 @@
         return;
     if (event.end.isWhole)
         m_lengths.note(it->second.use.expected, it->second.use.generated);
+    noteEnd(event, now);
     m_runs.erase(it);
     updateRoom(now);
 }
 
+void EngineAdmission::noteEnd(const Ended& event, Instant now)
+{
+    bool wasTrusted = m_trust.isTrusted();
+    if (event.end.isWhole)
+        m_trust.noteWhole();
+    else if (event.end.isBroken)
+        m_trust.noteBroken(event.gateway, event.end.request, now);
+    else
+        m_trust.noteUnused(event.end.request);
+    if (wasTrusted != m_trust.isTrusted()) {
+        auto code = wasTrusted ? EventCode::UpstreamEjected : EventCode::UpstreamReturned;
+        m_effects.push_back(Note { code, {}, m_settings.engineAddress + (wasTrusted ? " breaks what it is sent" : " has served again") });
+    }
+}
+
 void EngineAdmission::on(const Prefilling& event, Instant now)
 {
     const auto& notice = event.notice;
@@ -194,6 +211,7 @@
     m_runs.clear();
     m_prefills.clear();
     m_others = 0;
+    m_trust = {};
     updateRoom(now);
 }
 
--- a/src/request/engine/EngineAdmission.h
+++ b/src/request/engine/EngineAdmission.h
@@ -8,12 +8,14 @@
  * report every `readEvery`, knows each request's prompt and estimate, and admits by what the answers together are expected to need
  * (MemoryForecast). Gateways are told how much room there is, so that they ask where there is some.
  *
+ * It also hears from all gateways how runs end (EngineTrust): an engine that says it is well and breaks whatever it is sent gets no more.
  * An engine that does not answer has no room. A sidecar that is gone leaves the engine as it is: gateways then reserve at the engine.
  */
 #pragma once
 
 #include "base/EventCode.h"
 #include "message/Messages.h"
+#include "request/engine/EngineTrust.h"
 #include "request/engine/MemoryForecast.h"
 
 #include <map>
@@ -148,6 +150,7 @@
     void on(const admission::EngineRead&, Instant);
     void on(const admission::Tick&, Instant);
 
+    void noteEnd(const admission::Ended&, Instant);
     void forgetEngine(Instant);
     void takeRun(const admission::EngineRun&, Instant);
     void learnStride(const admission::EngineRun&, const Run&);
@@ -159,11 +162,15 @@
     void updateRoom(Instant);
     /// Not while requests wait there: an engine that has set streams back keeps a few of them waiting, and refuses whatever comes then,
     /// after its prompt was read elsewhere.
-    [[nodiscard]] bool isOpen(Instant now) const { return m_report && m_report->isDecode && !m_report->waiting && now >= m_announcedAt; }
+    [[nodiscard]] bool isOpen(Instant now) const
+    {
+        return m_report && m_report->isDecode && !m_report->waiting && now >= m_announcedAt && m_trust.mayTry(now);
+    }
     [[nodiscard]] bool isNews() const;
 
     Settings m_settings;
     AnswerLengths m_lengths;
+    EngineTrust m_trust;
     std::map<std::string, Run> m_runs; ///< By the engine's name for them.
     std::map<RequestId, Prefill> m_prefills;
     std::map<PeerId, bool> m_gateways; ///< Whether each has been told of the room.
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -166,7 +166,7 @@
         m_effects.push_back(NotePrefill { *sidecar, flow.id, flow.ask.promptTokens, true });
     if (flow.stage != Flow::Stage::Running)
         return;
-    endReservation(flow, outcome == CallOutcome::Served);
+    endReservation(flow, outcome == CallOutcome::Served, outcome == CallOutcome::Failed && !flow.hasBegun);
     if (m_queue.size()) {
         m_replicas.noteRoom(flow.replica);
         m_mayAdmit = true;
--- a/src/request/forward/ForwardEffects.h
+++ b/src/request/forward/ForwardEffects.h
@@ -74,6 +74,7 @@
     PeerId sidecar;
     RequestId id;
     bool isWhole = false; ///< Its answer came to its end.
+    bool isBroken = false; ///< It was sent there and nothing came of it.
 };
 /// Give back what was set aside and won't be used.
 struct DropPlace {
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -145,7 +145,7 @@
     void reportLoad(Instant);
     void takePlace(Flow&, const ReplicaTable::Choice&, Instant);
     void waitAgain(Flow&);
-    void endReservation(Flow&, bool isWhole);
+    void endReservation(Flow&, bool isWhole, bool isBroken = false);
     void refuseLeaving(Instant);
     [[nodiscard]] Duration returnAfterSurge(const Flow&, Instant);
     bool prefill(Flow&, Instant);
--- a/src/request/forward/ForwardPlaces.cpp
+++ b/src/request/forward/ForwardPlaces.cpp
@@ -102,10 +102,10 @@
 }
 
 /// Tells the sidecar that keeps the flow's place, if any, that it is of no use any more.
-void ForwardLogic::endReservation(Flow& flow, bool isWhole)
+void ForwardLogic::endReservation(Flow& flow, bool isWhole, bool isBroken)
 {
     if (auto sidecar = std::exchange(flow.reservedBy, std::nullopt))
-        m_effects.push_back(EndReservation { *sidecar, flow.id, isWhole });
+        m_effects.push_back(EndReservation { *sidecar, flow.id, isWhole, isBroken });
 }
 
 void ForwardLogic::on(const PlaceTaken& event, Instant now)
--- a/test/correctness/AdmissionTest.cpp
+++ b/test/correctness/AdmissionTest.cpp
@@ -398,3 +398,76 @@
         shedder.noteAnswer("s", 20ms, 150ms, start + 4s + i * 10ms);
     CHECK(shedder.refusedShare("s") == 0);
 }
+
+// --- Engines that break what they are sent ----------------------------------------------------------------------
+
+namespace {
+
+/// A request that a gateway sent after a grant, and that ended so.
+bool ends(Beside& beside, std::uint64_t n, PeerId from, bool isWhole)
+{
+    if (!beside.ask(n, 1000, 100, 200))
+        return false;
+    beside.post(Ended { from, { RequestId { PeerId(1), n }, isWhole, !isWhole } });
+    return true;
+}
+
+constexpr PeerId otherGateway { 8 };
+
+} // namespace
+
+TEST_CASE("an engine that breaks whatever it is sent gets no more, from no gateway")
+{
+    // Guards against each gateway's finding out alone, with a lost request and a prompt that was read for nothing.
+    Beside beside;
+    CHECK(ends(beside, 1, gateway, false));
+    CHECK(ends(beside, 2, otherGateway, false));
+    CHECK(ends(beside, 3, gateway, false));
+    CHECK(!beside.ask(4, 1000, 100, 200));
+    beside.read();
+    CHECK(!beside.ask(4, 1000, 100, 200));
+}
+
+TEST_CASE("an engine that broke is tried by one request at a time, and used again after one that came to its end")
+{
+    Beside beside;
+    for (std::uint64_t n = 1; n <= EngineTrust::mostBroken; ++n)
+        CHECK(ends(beside, n, n % 2 ? gateway : otherGateway, false));
+    beside.now += EngineTrust::firstPause;
+    beside.read();
+    CHECK(beside.ask(10, 1000, 100, 200));
+    CHECK(!beside.ask(11, 1000, 100, 200));
+    beside.post(Ended { gateway, { RequestId { PeerId(1), 10 }, false, true } });
+    beside.now += EngineTrust::firstPause;
+    beside.read();
+    // After each try that is broken too the pause is longer.
+    CHECK(!beside.ask(12, 1000, 100, 200));
+    beside.now += EngineTrust::firstPause;
+    beside.read();
+    CHECK(ends(beside, 12, gateway, true));
+    CHECK(beside.ask(13, 1000, 100, 200));
+    CHECK(beside.ask(14, 1000, 100, 200));
+}
+
+TEST_CASE("broken ends of one gateway, or between whole ones, leave an engine in use")
+{
+    Beside beside;
+    for (std::uint64_t n = 1; n <= 10; ++n)
+        CHECK(ends(beside, n, gateway, false));
+    Beside mixed;
+    for (std::uint64_t n = 1; n <= 20; ++n)
+        CHECK(ends(mixed, n, n % 2 ? gateway : otherGateway, n % 3 == 0));
+}
+
+TEST_CASE("an engine that has started again is trusted anew")
+{
+    Beside beside;
+    for (std::uint64_t n = 1; n <= EngineTrust::mostBroken; ++n)
+        CHECK(ends(beside, n, n % 2 ? gateway : otherGateway, false));
+    beside.miss();
+    beside.miss();
+    for (int i = 0; i < 40; ++i)
+        beside.read();
+    CHECK(beside.ask(10, 1000, 100, 200));
+    CHECK(beside.ask(11, 1000, 100, 200));
+}
