Tests of quotas at a gateway and of what links may say of them; what nobody called goes

AccountTest: refused before a replica is touched, given back when it has not run, reported under the account's hash. QuotaExchange::total had no caller.

--- a/src/request/fleet/QuotaExchange.cpp
+++ b/src/request/fleet/QuotaExchange.cpp
@@ -159,10 +159,4 @@
     return { id, others, perSecond, reserved(id, account), account.news == Account::News::Busy };
 }
 
-double QuotaExchange::total(AccountId id) const
-{
-    auto it = m_accounts.find(id);
-    return it == m_accounts.end() ? 0 : it->second.total;
-}
-
 } // namespace wrenhinge
--- a/src/request/fleet/QuotaExchange.h
+++ b/src/request/fleet/QuotaExchange.h
@@ -34,8 +34,6 @@
     void take(PeerId gateway, const QuotaReport&, Instant now);
     /// What to tell whom; call it every `quota::tellEvery`.
     std::vector<std::pair<PeerId, QuotaTotals>> tell(Instant now);
-    /// All that was reported of an account since this process started.
-    [[nodiscard]] double total(AccountId) const;
 
 private:
     /// Use is kept apart from this time on, so that a gateway that was not told lately can be told of the last moments alone.
--- a/test/correctness/AccountTest.cpp
+++ b/test/correctness/AccountTest.cpp
@@ -164,3 +164,83 @@
     CHECK((crashOf("k3") == ofAccount(print, "gate")));
     CHECK((crashOf("k2") == first));
 }
+
+// --- Quotas -----------------------------------------------------------------------------------------------------
+
+namespace {
+
+/// A site whose account may use 1,000 tokens a second and a burst of two large requests, and that hears a controller.
+struct LimitedSite : Bench {
+    LimitedSite()
+        : Bench({ "zone-1", 1, { 0.2, 60, 10s }, "gateway-1" })
+    {
+        auto desk = account("desk", { "k1" });
+        desk.quota = { QuotaRule::Unit::Tokens, 1000, 12'000, 200 };
+        post(TakeDocument { documentOf(1, { desk, account("gate", { "k3" }) }), true });
+        for (int i = 0; i < 15; ++i)
+            hear();
+        replica("r1").replica("d1", UpstreamKind::Decode).replica("p1", UpstreamKind::Prefill);
+    }
+    void hear()
+    {
+        post(RegistryTold { controller, { {}, 1 } });
+        wait(1s);
+        post(QuotaTold { controller, { {}, true } });
+    }
+    static constexpr PeerId controller { 50 };
+};
+
+} // namespace
+
+TEST_CASE("an account beyond its quota is refused before a replica is asked for anything, and told when to come back")
+{
+    LimitedSite site;
+    site.hear();
+    for (int i = 0; i < 2; ++i) {
+        site.ask("/stream/x", 14s, {}, "k1");
+        CHECK(site.did<Refuse>().empty());
+    }
+    site.ask("/stream/x", 14s, {}, "k1");
+    auto error = site.only<Refuse>().error;
+    CHECK(error.code == ResultCode::AccountRateLimit);
+    CHECK(httpStatusOf(error.code) == 429);
+    REQUIRE(error.retryAfter);
+    CHECK(*error.retryAfter > 1s);
+    CHECK(site.did<TakePlace>().empty());
+    CHECK(site.did<Send>().empty());
+    // Another account is none the worse for it.
+    site.ask("/once/x", 600ms, {}, "k3");
+    CHECK(site.did<Send>().size() == 1);
+}
+
+TEST_CASE("a request that is refused for want of room costs its account nothing, and one that may have run does")
+{
+    LimitedSite site;
+    site.hear();
+    auto left = [&site] { return site.logic().quotas().accounts().at("desk").left(site.now); };
+    auto before = left();
+    auto take = (site.ask("/stream/x", 14s, {}, "k1"), site.only<TakePlace>());
+    CHECK(left() == doctest::Approx(before - 5800));
+    site.post(PlaceRefused { take.id, take.attempt, true });
+    site.post(CallerGone { take.id });
+    CHECK(left() == doctest::Approx(before));
+    site.ask("/once/x", 600ms, {}, "k1");
+    auto send = site.only<Send>();
+    site.post(CallFailed { send.id, send.attempt, true, "reset" });
+    CHECK(site.only<Refuse>().error.code == ResultCode::UpstreamFailed);
+    CHECK(left() == doctest::Approx(before - 200));
+}
+
+TEST_CASE("what is used is reported to all controllers, under the account's hash and with its limit")
+{
+    LimitedSite site;
+    site.hear();
+    site.ask("/stream/x", 14s, {}, "k1");
+    site.wait(AccountQuotas::reportSoon);
+    auto report = site.only<ReportUse>().report;
+    CHECK((report.teller == LimitedSite::controller));
+    REQUIRE(report.uses.size() == 1);
+    CHECK((report.uses[0].account == accountId("desk")));
+    CHECK(report.uses[0].amount == doctest::Approx(5800));
+    CHECK(report.uses[0].perSecond == 1000);
+}
--- a/test/correctness/DoorTest.cpp
+++ b/test/correctness/DoorTest.cpp
@@ -168,6 +168,13 @@
     CHECK(names(CrashReport { { { RequestFingerprint(7), "a", {}, -5s, 1s } }, {} }, "age"));
     CHECK(names(CrashReport { { { RequestFingerprint(7), "a", {}, 1s, -1s } }, {} }, "ranFor"));
     CHECK(names(CrashReport { {}, { { RequestFingerprint(7), -5s } } }, "age"));
+    CHECK(!faultOf(Message(QuotaReport { { { AccountId(7), -3300, 47000, true } }, true, true })));
+    CHECK(names(QuotaReport { { { AccountId(7), NAN, 47000 } } }, "uses"));
+    CHECK(names(QuotaReport { { { AccountId(7), 1, -1 } } }, "uses"));
+    CHECK(!faultOf(Message(QuotaTotals { { { AccountId(7), -3300, 5000, 0, true } }, true })));
+    CHECK(names(QuotaTotals { { { AccountId(7), INFINITY, 0, 0, true } } }, "totals"));
+    CHECK(names(QuotaTotals { { { AccountId(7), 0, -1, 0, true } } }, "totals"));
+    CHECK(names(QuotaTotals { { { AccountId(7), 0, 0, -1, true } } }, "totals"));
     CHECK(names(ControllerRoster { { "nowhere" } }, "addresses"));
     CHECK(readable("a\n\xff" + std::string(100, 'x'), 10) == "a??xxxx...");
 }
