--- /dev/null
+++ b/test/support/QuotaFleet.h
@@ -0,0 +1,221 @@
+/** \file
+ * Gateways and controllers that keep one limit together, on virtual time, with failures to play.
+ */
+#pragma once
+
+#include "request/fleet/AccountQuotas.h"
+#include "request/fleet/QuotaExchange.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace wrenhinge::quotas {
+
+inline constexpr Instant start { std::chrono::seconds(1000) };
+inline constexpr QuotaSettings tolerance { 8s, 0.1, 190'000 };
+inline const QuotaRule rule { QuotaRule::Unit::Tokens, 47'000, 47'000, 200 };
+
+/// Gateways and controllers on virtual time, a step at a time, with one account.
+class Fleet {
+public:
+    explicit Fleet(int gateways, int controllers = 3)
+        : m_controllers(controllers)
+        , m_cut(controllers)
+    {
+        for (int i = 0; i < gateways; ++i) {
+            m_gateways.emplace_back();
+            begin(m_gateways.back(), i);
+        }
+    }
+
+    static constexpr Duration step = 10ms;
+    Instant now = start;
+
+    /// One request at a gateway. \returns whether it was admitted.
+    bool ask(std::size_t gateway, double amount = 3300)
+    {
+        auto& one = m_gateways[gateway];
+        if (one.isFrozen)
+            return true;
+        m_last = one.quotas->admit("desk", amount, now);
+        if (m_last.isAdmitted)
+            m_runs.emplace_back(now, amount);
+        else
+            ++refused;
+        return m_last.isAdmitted;
+    }
+
+    void pass(Duration time)
+    {
+        for (auto end = now + time; now < end; now += step)
+            exchange();
+    }
+
+    /// Calls at a rate of so many tokens a second, spread over the gateways by a share of each.
+    void load(double perSecond, Duration time, const std::function<std::size_t(std::mt19937&)>& pick)
+    {
+        for (auto end = now + time; now < end; now += step) {
+            m_owed += perSecond * toSeconds(step);
+            for (; m_owed >= 3300; m_owed -= 3300)
+                ask(pick(m_random));
+            exchange();
+        }
+    }
+    void load(double perSecond, Duration time)
+    {
+        auto n = m_gateways.size();
+        load(perSecond, time, [n](std::mt19937& random) { return random() % n; });
+    }
+
+    /// Gateways from `first` on hear only the last controllers from `firstController` on, and the others only those before.
+    void cut(std::size_t first, std::size_t firstController)
+    {
+        for (std::size_t c = 0; c < m_controllers.size(); ++c) {
+            m_cut[c].clear();
+            for (std::size_t g = 0; g < m_gateways.size(); ++g)
+                m_cut[c].push_back((g >= first) != (c >= firstController));
+        }
+    }
+    void heal() { m_cut.assign(m_controllers.size(), {}); }
+    void freeze(std::size_t gateway, bool isFrozen) { m_gateways[gateway].isFrozen = isFrozen; }
+    void restartGateway(std::size_t gateway)
+    {
+        for (auto& controller : m_controllers)
+            controller.gone(m_gateways[gateway].id, now);
+        begin(m_gateways[gateway], static_cast<int>(gateway));
+    }
+    void restartController(std::size_t c)
+    {
+        m_controllers[c] = {};
+        for (auto& gateway : m_gateways) {
+            gateway.quotas->gone(PeerId(500 + c));
+            gateway.linked[c] = false;
+        }
+    }
+    void setRule(const QuotaRule& changed)
+    {
+        for (auto& gateway : m_gateways)
+            gateway.quotas->setRules({ { "desk", changed } }, now);
+        m_rule = changed;
+    }
+
+    /// The most that was admitted in a window.
+    [[nodiscard]] double mostInWindow() const
+    {
+        double sum = 0;
+        double most = 0;
+        auto from = m_runs.begin();
+        for (const auto& [at, amount] : m_runs) {
+            sum += amount;
+            for (; at - from->first > tolerance.window; ++from)
+                sum -= from->second;
+            most = std::max(most, sum);
+        }
+        return most;
+    }
+    [[nodiscard]] double bound() const
+    {
+        return (m_rule.perSecond * toSeconds(tolerance.window) + m_rule.burst) * (1 + tolerance.excess) + tolerance.slack;
+    }
+    [[nodiscard]] double admittedSince(Instant from) const
+    {
+        double sum = 0;
+        for (const auto& [at, amount] : m_runs)
+            sum += at >= from ? amount : 0;
+        return sum;
+    }
+    void forgetRuns() { m_runs.clear(); }
+    [[nodiscard]] const AccountQuota::Verdict& last() const { return m_last; }
+    std::size_t messages = 0;
+    std::size_t refused = 0;
+
+private:
+    struct Gateway {
+        PeerId id;
+        std::unique_ptr<AccountQuotas> quotas;
+        std::vector<bool> linked;
+        bool isFrozen = false;
+    };
+
+    void begin(Gateway& gateway, int i)
+    {
+        gateway.id = PeerId(++m_lastId);
+        gateway.quotas = std::make_unique<AccountQuotas>(tolerance, "gateway-" + std::to_string(i));
+        gateway.quotas->setRules({ { "desk", m_rule } }, now);
+        gateway.linked.assign(m_controllers.size(), false);
+    }
+
+    [[nodiscard]] bool reaches(std::size_t g, std::size_t c) const { return m_cut[c].empty() || !m_cut[c][g]; }
+
+    /// Links come and go, reports and totals pass, and heartbeats come once a second.
+    void exchange()
+    {
+        for (std::size_t g = 0; g < m_gateways.size(); ++g) {
+            auto& gateway = m_gateways[g];
+            for (std::size_t c = 0; c < m_controllers.size(); ++c) {
+                if (!gateway.linked[c] && reaches(g, c)) {
+                    m_controllers[c].linked(gateway.id, "gateway-" + std::to_string(g));
+                    gateway.linked[c] = true;
+                    hear(gateway, c);
+                }
+                bool isHeartbeat = (now - start) % 1s == Duration::zero();
+                if (isHeartbeat && reaches(g, c))
+                    hear(gateway, c);
+            }
+            if (gateway.isFrozen)
+                continue;
+            if (auto report = gateway.quotas->report(now))
+                send(g, *report);
+        }
+        if ((now - start) % quota::tellEvery != Duration::zero())
+            return;
+        for (std::size_t c = 0; c < m_controllers.size(); ++c) {
+            for (const auto& [peer, totals] : m_controllers[c].tell(now))
+                tell(c, peer, totals);
+        }
+    }
+
+    void hear(Gateway& gateway, std::size_t c)
+    {
+        if (gateway.isFrozen)
+            return;
+        gateway.quotas->setGateways(static_cast<std::uint32_t>(m_gateways.size()));
+        gateway.quotas->heard(PeerId(500 + c), now);
+    }
+
+    void send(std::size_t g, const AccountQuotas::Report& report)
+    {
+        for (std::size_t c = 0; c < m_controllers.size(); ++c) {
+            if (!reaches(g, c))
+                continue;
+            ++messages;
+            m_controllers[c].take(m_gateways[g].id, { report.uses, report.teller == PeerId(500 + c), report.asksForAll }, now);
+        }
+    }
+
+    void tell(std::size_t c, PeerId peer, const QuotaTotals& totals)
+    {
+        for (std::size_t g = 0; g < m_gateways.size(); ++g) {
+            auto& gateway = m_gateways[g];
+            if (gateway.id != peer || !reaches(g, c) || gateway.isFrozen)
+                continue;
+            ++messages;
+            gateway.quotas->take(PeerId(500 + c), totals, now);
+        }
+    }
+
+    QuotaRule m_rule = rule;
+    std::deque<Gateway> m_gateways;
+    std::vector<QuotaExchange> m_controllers;
+    std::vector<std::vector<bool>> m_cut; ///< By controller and gateway; empty: none.
+    std::vector<std::pair<Instant, double>> m_runs;
+    AccountQuota::Verdict m_last;
+    std::uint64_t m_lastId = 0;
+    std::mt19937 m_random { 7 };
+    double m_owed = 0;
+};
+
+} // namespace wrenhinge::quotas
