--- a/src/request/fleet/AccountQuotas.cpp
+++ b/src/request/fleet/AccountQuotas.cpp
@@ -122,13 +122,12 @@
     bool isWhole = now - m_reportedAt >= reportEvery;
     if (isWhole)
         m_reportedAt = now;
-    bool isHearingNow = isHearing(now);
-    if (!isHearingNow) {
+    if (!isHearing(now)) {
         keepUnreported(now);
         return std::nullopt;
     }
     for (auto& [name, quota] : m_accounts) {
-        quota.setContact(isHearingNow, m_gateways, now);
+        quota.setContact(true, m_gateways, now);
         bool isDue = isWhole ? quota.unreported() != 0 : quota.unreported() > quota.reportBeyond();
         if (isDue || quota.asksForTotal())
             report.uses.push_back({ accountId(name), quota.takeUnreported(), quota.rule().perSecond, quota.asksForTotal() });
--- a/src/request/fleet/AccountQuotas.h
+++ b/src/request/fleet/AccountQuotas.h
@@ -53,7 +53,6 @@
 
     [[nodiscard]] bool isHearing(Instant now) const;
     /// By name; for operators.
-    [[nodiscard]] const std::map<std::string, AccountQuota>& accounts() const { return m_accounts; }
     [[nodiscard]] std::map<std::string, AccountQuota>& accounts() { return m_accounts; }
 
 private:
--- a/src/request/forward/ForwardAccounts.cpp
+++ b/src/request/forward/ForwardAccounts.cpp
@@ -47,10 +47,7 @@
     }
     for (const auto& id : ids) {
         auto& flow = m_flows.at(id);
-        if (flow.isCalling) {
-            m_effects.push_back(CancelCall { flow.id, flow.attempt });
-            endCall(flow, CallOutcome::Abandoned, now);
-        }
+        abandonCall(flow, now);
         refuse(flow, ResultCode::UnknownAccount, "the key " + flow.ask.key->shortHex() + " was taken away", now);
     }
 }
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -173,6 +173,15 @@
     }
 }
 
+/// Breaks the present call off, if there is one: its answer is of no use any more.
+void ForwardLogic::abandonCall(Flow& flow, Instant now)
+{
+    if (!flow.isCalling)
+        return;
+    m_effects.push_back(CancelCall { flow.id, flow.attempt });
+    endCall(flow, CallOutcome::Abandoned, now);
+}
+
 bool ForwardLogic::mayRunAgain(const Flow& flow) const
 {
     if (flow.route->repeatability == Repeatability::AtMostOnce)
@@ -258,10 +267,7 @@
     auto& flow = it->second;
     m_effects.push_back(
         Note { EventCode::RequestCancelled, flow.id, "the caller left after " + std::to_string((now - flow.arrivedAt) / 1ms) + " ms" });
-    if (flow.isCalling) {
-        m_effects.push_back(CancelCall { flow.id, flow.attempt });
-        endCall(flow, CallOutcome::Abandoned, now);
-    }
+    abandonCall(flow, now);
     finish(flow, ResultCode::Cancelled, now);
 }
 
--- a/src/request/forward/ForwardCrashes.cpp
+++ b/src/request/forward/ForwardCrashes.cpp
@@ -58,10 +58,7 @@
     }
     for (const auto& id : ids) {
         auto& flow = m_flows.at(id);
-        if (flow.isCalling) {
-            m_effects.push_back(CancelCall { flow.id, flow.attempt });
-            endCall(flow, CallOutcome::Abandoned, now);
-        }
+        abandonCall(flow, now);
         refuseAsCrashing(flow, now);
     }
 }
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -176,6 +176,7 @@
     void resendOrFail(Flow&, bool mayHaveRun, const std::string& why, Instant);
     [[nodiscard]] bool mayRunAgain(const Flow&) const;
     void endCall(Flow&, CallOutcome, Instant);
+    void abandonCall(Flow&, Instant);
     void passEvents(Flow&, std::string bytes, Instant);
     void endStream(Flow&, Instant);
     void refuse(Flow&, ResultCode, const std::string& why, Instant);
