What a gateway shows of accounts: a pair of its own, outside the template

Change: AccountPages; tellControllers takes a message or what makes one for each. No behaviour changes. Run: formatter, layers, the adapter's tests (platform*).

--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -12,6 +12,7 @@
 #include "connection/HttpText.h"
 #include "connection/PeerHub.h"
 #include "connection/UpstreamPool.h"
+#include "process/AccountPages.h"
 #include "process/AdminPages.h"
 #include "process/ForwardMetrics.h"
 #include "process/LogicDriver.h"
@@ -25,7 +26,6 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
-#include <tuple>
 #include <unordered_map>
 
 namespace wrenhinge {
@@ -438,17 +438,21 @@
 
     void carry(forward::ReportUse& use)
     {
-        for (const auto& peer : m_hub.peers()) {
-            if (peer.role == Role::Controller)
-                m_hub.send(peer.id, QuotaReport { use.report.uses, use.report.teller == peer.id, use.report.asksForAll });
-        }
+        const auto& report = use.report;
+        tellControllers([&report](PeerId to) { return QuotaReport { report.uses, report.teller == to, report.asksForAll }; });
     }
 
     void tellControllers(const Message& message)
+    {
+        tellControllers([&message](PeerId) -> const Message& { return message; });
+    }
+
+    /// \param messageFor makes the message to one of them.
+    template <std::invocable<PeerId> F> void tellControllers(F messageFor)
     {
         for (const auto& peer : m_hub.peers()) {
             if (peer.role == Role::Controller)
-                m_hub.send(peer.id, message);
+                m_hub.send(peer.id, messageFor(peer.id));
         }
     }
 
@@ -481,7 +485,7 @@
         if (request.path == "/upstreams")
             return AdminPages::json(upstreams());
         if (request.path == "/accounts")
-            return AdminPages::json(accounts());
+            return AdminPages::json(m_driver.modify([](ForwardLogic& logic) { return accountsPage(logic.quotas(), currentInstant()); }));
         if (request.path != "/metrics")
             return AdminPages::notFound(request.path);
         m_driver.inspect([this](const ForwardLogic& logic) {
@@ -491,7 +495,8 @@
             m_metrics.setGauge("wrenhinge_document_version", static_cast<double>(logic.documentVersion()));
             m_metrics.setGauge("wrenhinge_keys_refused_total", static_cast<double>(logic.refusedKeys()));
         });
-        return { 200, "text/plain; version=0.0.4", m_metrics.text() + accountMetrics() + m_runtime.refusals().metrics() };
+        auto ofAccounts = m_driver.modify([](ForwardLogic& logic) { return accountMetrics(logic.quotas()); });
+        return { 200, "text/plain; version=0.0.4", m_metrics.text() + ofAccounts + m_runtime.refusals().metrics() };
     }
 
     nlohmann::json status()
@@ -509,43 +514,6 @@
         return json;
     }
 
-    /// What client accounts use of their limits, as this gateway knows it, in the form that `wrenhinge accounts` reads.
-    nlohmann::json accounts()
-    {
-        return m_driver.modify([](ForwardLogic& logic) {
-            auto now = currentInstant();
-            auto list = nlohmann::json::array();
-            for (auto& [name, quota] : logic.quotas().accounts()) {
-                auto use = quota.use(now);
-                list.push_back({ { "name", name }, { "unit", nameOf(quota.rule().unit) }, { "limit_per_second", quota.rule().perSecond },
-                    { "burst", quota.rule().burst }, { "used_here_per_second", use.ownPerSecond },
-                    { "used_elsewhere_per_second", use.othersPerSecond }, { "left", use.left }, { "hears_others", !use.isAlone },
-                    { "admitted", quota.admitted() }, { "refused", quota.refused() } });
-            }
-            return list;
-        });
-    }
-
-    /// Of so many accounts as a metrics page can bear: those with the most refusals, and then with the most requests.
-    std::string accountMetrics()
-    {
-        static constexpr std::size_t mostAccounts = 50;
-        return m_driver.modify([](ForwardLogic& logic) {
-            std::vector<std::tuple<std::uint64_t, std::uint64_t, std::string>> busiest;
-            for (const auto& [name, quota] : logic.quotas().accounts())
-                busiest.emplace_back(quota.refused(), quota.admitted(), name);
-            auto shown = std::min(mostAccounts, busiest.size());
-            std::partial_sort(busiest.begin(), busiest.begin() + static_cast<std::ptrdiff_t>(shown), busiest.end(), std::greater<>());
-            std::string out;
-            for (std::size_t i = 0; i < shown; ++i) {
-                const auto& [refused, admitted, name] = busiest[i];
-                out += "wrenhinge_account_requests_total{account=\"" + name + "\",verdict=\"admitted\"} " + std::to_string(admitted) + "\n";
-                out += "wrenhinge_account_requests_total{account=\"" + name + "\",verdict=\"refused\"} " + std::to_string(refused) + "\n";
-            }
-            return out;
-        });
-    }
-
     /// The replicas as this gateway knows them, in the form that `wrenhinge upstream list` reads.
     nlohmann::json upstreams() const
     {
