--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -660,7 +660,7 @@
     MSGPACK_DEFINE(account, amount, perSecond, asksForTotal)
 };
 
-/// From a gateway to all controllers: soon after it has used much, and once a second.
+/// From a gateway to all controllers: soon after it has used much, and twice a second.
 struct QuotaReport {
     std::vector<AccountUse> uses;
     bool wantsTotals = false; ///< The gateway goes by this controller's totals.
