A gateway that is lost while nobody uses an account: its equal share is set aside, also when the account is used later

Cause: what a lost gateway may use was worked out for the accounts that it had used itself; for all others the controller looked up, at each telling, the rate at the time of the loss, but a rate that fades cannot be asked for a time that is past: what was used since made it look busy, and a quarter of the share was set aside. Now the parts of all accounts that are known are worked out once, at the loss; one that is not known is used by nobody.

--- a/src/request/fleet/QuotaExchange.cpp
+++ b/src/request/fleet/QuotaExchange.cpp
@@ -30,9 +30,9 @@
     auto n = gateways() + (isLinked ? 0 : 1);
     auto marksAgo = std::min<std::size_t>((now - gateway.heardAt) / markEvery, Account().rateAtMarks.size() - 1);
     Lost lost { now, isLinked, {} };
-    for (const auto& [id, share] : gateway.shares) {
-        const auto& account = m_accounts[id];
-        auto own = share.rate.perSecond(gateway.heardAt);
+    for (const auto& [id, account] : m_accounts) {
+        auto share = gateway.shares.find(id);
+        auto own = share != gateway.shares.end() ? share->second.rate.perSecond(gateway.heardAt) : 0;
         auto all = std::max(own, account.rateAtMarks[marksAgo]);
         // By next to no use, the first request after a pause would decide who has the whole limit.
         bool isIdle = all < idlePart * account.limit;
@@ -102,9 +102,9 @@
 {
     double sum = 0;
     for (const auto& [name, lost] : m_lost) {
+        // Nobody used an account that was not known then.
         auto it = lost.parts.find(id);
-        auto byOthers = account.rate.perSecond(lost.at) < idlePart * account.limit ? 1 : 1 - quota::partOfUse;
-        sum += it != lost.parts.end() ? it->second : byOthers * account.limit / gateways();
+        sum += it != lost.parts.end() ? it->second : account.limit / gateways();
     }
     return std::min(sum, account.limit);
 }
--- a/test/correctness/QuotaTest.cpp
+++ b/test/correctness/QuotaTest.cpp
@@ -120,6 +120,16 @@
     CHECK(fleet.mostInWindow() <= fleet.bound());
 }
 
+TEST_CASE("an account that nobody uses is shared between the sides of a cut, and each sets aside the other's part")
+{
+    Fleet fleet(11, 3);
+    fleet.pass(3s);
+    fleet.cut(5, 1);
+    fleet.load(rule.perSecond, 2s);
+    fleet.load(rule.perSecond * 4, 12s);
+    CHECK(fleet.mostInWindow() <= fleet.bound());
+}
+
 TEST_CASE("gateways that wake from a freeze go by nothing that they knew before")
 {
     Fleet fleet(33);
