Gateways that are cut off one after the other share what those before them left

Both sides now work the part out from what was not set aside (the controller as of the moment at which the gateway was heard last).

--- a/src/request/fleet/AccountQuota.cpp
+++ b/src/request/fleet/AccountQuota.cpp
@@ -6,11 +6,12 @@
 
 namespace quota {
 
-    double partAlone(double limit, double own, double all, std::uint32_t gateways)
+    double partAlone(double limit, double reserved, double own, double all, std::uint32_t gateways)
     {
         if (gateways <= 1)
             return limit;
-        auto byUse = std::min(limit, all > 0 ? limit * own / all : own / busyPart);
+        auto shared = std::max(0.0, limit - reserved);
+        auto byUse = std::min(shared, all > 0 ? shared * own / all : own / busyPart);
         return partOfUse * byUse + (1 - partOfUse) * limit / gateways;
     }
 
@@ -44,7 +45,7 @@
 double AccountQuota::part(Instant now) const
 {
     auto own = m_own.perSecond(now);
-    return quota::partAlone(m_rule.perSecond, own, m_isBusy ? own + m_othersPerSecond : 0, m_gateways);
+    return quota::partAlone(m_rule.perSecond, m_reservedPerSecond, own, m_isBusy ? own + m_othersPerSecond : 0, m_gateways);
 }
 
 AccountQuota::Allowance AccountQuota::allowance(Instant now) const
--- a/src/request/fleet/AccountQuota.h
+++ b/src/request/fleet/AccountQuota.h
@@ -41,9 +41,11 @@
     inline constexpr double partOfUse = 0.75;
 
     /// The part of a limit that a gateway may use which the others don't hear, and that they set aside for it: by its use, and a rest
-    /// to all alike. The parts of all add up to the limit at most.
+    /// to all alike. The parts of all add up to the limit.
+    /// \param reserved what is set aside already, for gateways whose use is not in \param all. Without it, those that are cut off one after the
+    /// other would share the whole limit once more each time.
     /// \param own what it used a second, of \param all that all used; zero: not known here, and less than `busyPart` of the limit.
-    double partAlone(double limit, double own, double all, std::uint32_t gateways);
+    double partAlone(double limit, double reserved, double own, double all, std::uint32_t gateways);
 
 } // namespace quota
 
--- a/src/request/fleet/QuotaExchange.cpp
+++ b/src/request/fleet/QuotaExchange.cpp
@@ -28,15 +28,16 @@
 void QuotaExchange::lose(const Gateway& gateway, bool isLinked, Instant now)
 {
     auto n = gateways() + (isLinked ? 0 : 1);
-    auto marksAgo = std::min<std::size_t>((now - gateway.heardAt) / markEvery, Account().rateAtMarks.size() - 1);
+    auto marksAgo = std::min<std::size_t>((now - gateway.heardAt) / markEvery, Account().marks.size() - 1);
     Lost lost { now, isLinked, {} };
     for (const auto& [id, account] : m_accounts) {
         auto share = gateway.shares.find(id);
         auto own = share != gateway.shares.end() ? share->second.rate.perSecond(gateway.heardAt) : 0;
-        auto all = std::max(own, account.rateAtMarks[marksAgo]);
+        auto [rate, reserved] = account.marks[marksAgo];
+        auto all = std::max(own, rate);
         // By next to no use, the first request after a pause would decide who has the whole limit.
         bool isIdle = all < idlePart * account.limit;
-        lost.parts[id] = isIdle ? account.limit / n : quota::partAlone(account.limit, own, all, n);
+        lost.parts[id] = isIdle ? account.limit / n : quota::partAlone(account.limit, reserved, own, all, n);
     }
     m_lost[gateway.name] = std::move(lost);
 }
@@ -82,8 +83,8 @@
     ++m_mark;
     for (auto& [id, account] : m_accounts) {
         account.totalAtMark = account.total;
-        std::shift_right(account.rateAtMarks.begin(), account.rateAtMarks.end(), 1);
-        account.rateAtMarks.front() = account.rate.perSecond(now);
+        std::shift_right(account.marks.begin(), account.marks.end(), 1);
+        account.marks.front() = { account.rate.perSecond(now), reserved(id, account) };
     }
 }
 
--- a/src/request/fleet/QuotaExchange.h
+++ b/src/request/fleet/QuotaExchange.h
@@ -48,9 +48,13 @@
         double total = 0;
         double totalAtMark = 0;
         double limit = 0;
-        /// What all used a second at the last marks, newest first: when a gateway is found to be lost, those that are heard have gone on
-        /// without it for a while.
-        std::array<double, 8> rateAtMarks {};
+        /// What all used a second at the last marks, and what was set aside for others; newest first. When a gateway is found to be lost,
+        /// those that are heard have gone on without it for a while.
+        struct Mark {
+            double rate = 0;
+            double reserved = 0;
+        };
+        std::array<Mark, 8> marks {};
         UseRate recent { busyMemory };
         UseRate rate { quota::shareMemory };
         Instant busyUntil;
--- a/test/correctness/QuotaTest.cpp
+++ b/test/correctness/QuotaTest.cpp
@@ -130,6 +130,18 @@
     CHECK(fleet.mostInWindow() <= fleet.bound());
 }
 
+TEST_CASE("gateways that are cut off one after the other share what those before them left")
+{
+    Fleet fleet(10, 1);
+    fleet.pass(3s);
+    for (std::size_t heard = 10; heard > 0; --heard) {
+        fleet.load(rule.perSecond * 2, 6s);
+        fleet.cut(heard - 1, 1);
+    }
+    fleet.load(rule.perSecond * 6, 12s);
+    CHECK(fleet.mostInWindow() <= fleet.bound());
+}
+
 TEST_CASE("gateways that wake from a freeze go by nothing that they knew before")
 {
     Fleet fleet(33);
