A controller that starts during a cut sets aside what was set aside before, and says nothing until it has watched for half a second

Cause: three, all of a controller that has just started. It did not know whom it did not hear, and set nothing aside for gateways beyond a cut. Its rates, which fade in over 4 s, showed too little of the others' use, so gateways that were cut off soon after took too large a part. It told gateways that no account was busy. Rates are read by how long they were watched. Nothing is told in the first 500 ms; gateways go by another controller, or by their parts.

--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -80,7 +80,8 @@
 
     Fault check(const AccountUse& use)
     {
-        if (!std::isfinite(use.amount) || !std::isfinite(use.perSecond) || use.perSecond < 0)
+        bool isFinite = std::isfinite(use.amount) && std::isfinite(use.perSecond) && std::isfinite(use.reservedPerSecond);
+        if (!isFinite || use.perSecond < 0 || use.reservedPerSecond < 0)
             return wrong("uses", "finite amounts of limits from zero", toString(use.account));
         return std::nullopt;
     }
--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -657,7 +657,15 @@
     double amount = 0;
     double perSecond = 0; ///< The account's limit.
     bool asksForTotal = false; ///< The gateway uses more than it may without hearing of the others.
-    MSGPACK_DEFINE(account, amount, perSecond, asksForTotal)
+    double reservedPerSecond = 0; ///< Of the limit, as this gateway was told last.
+    MSGPACK_DEFINE(account, amount, perSecond, asksForTotal, reservedPerSecond)
+};
+
+/// Gateways that share the limits, as one controller sees them.
+struct GatewaysSeen {
+    std::uint32_t all = 0;
+    std::uint32_t unheard = 0; ///< Of these; a part of each limit is set aside for them.
+    MSGPACK_DEFINE(all, unheard)
 };
 
 /// From a gateway to all controllers: soon after it has used much, and twice a second.
@@ -665,7 +673,8 @@
     std::vector<AccountUse> uses;
     bool wantsTotals = false; ///< The gateway goes by this controller's totals.
     bool asksForAll = false; ///< It does not know which accounts are busy.
-    MSGPACK_DEFINE(uses, wantsTotals, asksForAll)
+    GatewaysSeen told; ///< By the controller whose totals it went by last, for one that has just started.
+    MSGPACK_DEFINE(uses, wantsTotals, asksForAll, told)
 };
 
 /// What all other gateways have used.
@@ -682,7 +691,8 @@
 struct QuotaTotals {
     std::vector<AccountTotal> totals;
     bool isAll = false; ///< No other account is busy.
-    MSGPACK_DEFINE(totals, isAll)
+    GatewaysSeen gateways;
+    MSGPACK_DEFINE(totals, isAll, gateways)
 };
 
 using Message = std::variant<Hello, Announce, SlotGrant, Refused, PrefillDone, ResponseHead, ResponseData, ResponseEnd, Failed, SealReply,
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -439,7 +439,7 @@
     void carry(forward::ReportUse& use)
     {
         const auto& report = use.report;
-        tellControllers([&report](PeerId to) { return QuotaReport { report.uses, report.teller == to, report.asksForAll }; });
+        tellControllers([&report](PeerId to) { return QuotaReport { report.uses, report.teller == to, report.asksForAll, report.told }; });
     }
 
     void tellControllers(const Message& message)
--- a/src/request/fleet/AccountQuota.h
+++ b/src/request/fleet/AccountQuota.h
@@ -42,9 +42,9 @@
 
     /// The part of a limit that a gateway may use which the others don't hear, and that they set aside for it: by its use, and a rest
     /// to all alike. The parts of all add up to the limit.
-    /// \param reserved what is set aside already, for gateways whose use is not in \param all. Without it, those that are cut off one after the
-    /// other would share the whole limit once more each time.
-    /// \param own what it used a second, of \param all that all used; zero: not known here, and less than `busyPart` of the limit.
+    /// \param reserved what is set aside already, for gateways whose use is not in \param all. Without it, those that are cut off one after
+    /// the other would share the whole limit once more each time. \param own what it used a second, of \param all that all used; zero: not
+    /// known here, and less than `busyPart` of the limit.
     double partAlone(double limit, double reserved, double own, double all, std::uint32_t gateways);
 
 } // namespace quota
@@ -76,6 +76,8 @@
     double takeUnreported();
     /// No controller hears of it: keeps as much as the others' buckets may lose by all gateways that come back together.
     void keepUnreported(Instant now);
+    /// Of the limit, as told last.
+    [[nodiscard]] double reservedPerSecond() const { return m_reservedPerSecond; }
     [[nodiscard]] double unreported() const { return m_unreported; }
     /// Use beyond this is reported at once: unreported at all gateways, it is a small part of the bucket.
     [[nodiscard]] double reportBeyond() const;
--- a/src/request/fleet/AccountQuotas.cpp
+++ b/src/request/fleet/AccountQuotas.cpp
@@ -67,6 +67,8 @@
     // Another one's totals hold the same use once more.
     if (controller != m_teller)
         return;
+    m_told = totals.gateways;
+    m_toldAt = now;
     if (totals.isAll) {
         m_knowsBusy = true;
         for (auto& [name, quota] : m_accounts) {
@@ -113,12 +115,20 @@
     m_reportAt = now + reportEvery;
 }
 
+GatewaysSeen AccountQuotas::gatewaysSeen(Instant now) const
+{
+    auto seen = now - m_toldAt <= toldLasts ? m_told : GatewaysSeen();
+    if (m_gateways != SharedRetryBudget::gatewaysUnknown)
+        seen.all = std::max(seen.all, m_gateways);
+    return seen;
+}
+
 std::optional<AccountQuotas::Report> AccountQuotas::report(Instant now)
 {
     if (m_accounts.empty() || m_reportAt > now)
         return std::nullopt;
     chooseTeller(now);
-    Report report { {}, m_teller, !m_knowsBusy };
+    Report report { {}, m_teller, !m_knowsBusy, gatewaysSeen(now) };
     bool isWhole = now - m_reportedAt >= reportEvery;
     if (isWhole)
         m_reportedAt = now;
@@ -130,7 +140,8 @@
         quota.setContact(true, m_gateways, now);
         bool isDue = isWhole ? quota.unreported() != 0 : quota.unreported() > quota.reportBeyond();
         if (isDue || quota.asksForTotal())
-            report.uses.push_back({ accountId(name), quota.takeUnreported(), quota.rule().perSecond, quota.asksForTotal() });
+            report.uses.push_back(
+                { accountId(name), quota.takeUnreported(), quota.rule().perSecond, quota.asksForTotal(), quota.reservedPerSecond() });
     }
     m_reportAt = m_reportedAt + reportEvery;
     return report;
--- a/src/request/fleet/AccountQuotas.h
+++ b/src/request/fleet/AccountQuotas.h
@@ -21,6 +21,8 @@
     /// What was used is reported this often at least; soon after it has become much.
     static constexpr Duration reportEvery = 500ms;
     static constexpr Duration reportSoon = 20ms;
+    /// What was told of unheard gateways is passed on to controllers that start within this time.
+    static constexpr Duration toldLasts = 60s;
 
     /// \param gateway the name of this one.
     explicit AccountQuotas(QuotaSettings settings = {}, std::string gateway = {})
@@ -46,6 +48,7 @@
         std::vector<AccountUse> uses;
         std::optional<PeerId> teller; ///< The controller by whose totals this gateway goes.
         bool asksForAll = false;
+        GatewaysSeen told;
     };
     /// \returns nothing before `nextReport`.
     std::optional<Report> report(Instant now);
@@ -58,6 +61,7 @@
 private:
     AccountQuota* find(const std::string& account, Instant now);
     void chooseTeller(Instant now);
+    [[nodiscard]] GatewaysSeen gatewaysSeen(Instant now) const;
     void keepUnreported(Instant now);
 
     QuotaSettings m_settings;
@@ -68,6 +72,8 @@
     std::map<PeerId, Instant> m_heardAt; ///< Controllers.
     std::optional<PeerId> m_teller;
     bool m_knowsBusy = false; ///< A controller has told of all busy accounts since this gateway hears of them.
+    GatewaysSeen m_told; ///< By the teller, at `m_toldAt`.
+    Instant m_toldAt;
     std::optional<PeerId> m_formerTeller; ///< It has fallen silent on a busy account, and is no choice while there is another.
     Instant m_reportAt = Instant::max();
     Instant m_reportedAt;
--- a/src/request/fleet/QuotaExchange.cpp
+++ b/src/request/fleet/QuotaExchange.cpp
@@ -48,6 +48,8 @@
     return static_cast<std::uint32_t>(m_gateways.size()) + static_cast<std::uint32_t>(unlinked);
 }
 
+GatewaysSeen QuotaExchange::gatewaysSeen() const { return { gateways(), static_cast<std::uint32_t>(m_lost.size()) }; }
+
 void QuotaExchange::take(PeerId from, const QuotaReport& report, Instant now)
 {
     auto it = m_gateways.find(from);
@@ -55,8 +57,11 @@
         return;
     auto& gateway = it->second;
     gateway.heardAt = now;
+    if (!m_startedAt)
+        m_startedAt = now;
     gateway.wantsTotals = report.wantsTotals;
     gateway.asksForAll = report.wantsTotals && report.asksForAll;
+    m_inherited.take(report, now);
     m_lost.erase(gateway.name);
     setMark(now);
     for (const auto& use : report.uses) {
@@ -84,7 +89,7 @@
     for (auto& [id, account] : m_accounts) {
         account.totalAtMark = account.total;
         std::shift_right(account.marks.begin(), account.marks.end(), 1);
-        account.marks.front() = { account.rate.perSecond(now), reserved(id, account) };
+        account.marks.front() = { account.rate.perSecond(now), reserved(id, account, now) };
     }
 }
 
@@ -99,9 +104,9 @@
     std::erase_if(m_lost, [now](const auto& item) { return now - item.second.at > reserveFor; });
 }
 
-double QuotaExchange::reserved(AccountId id, const Account& account) const
+double QuotaExchange::reserved(AccountId id, const Account& account, Instant now) const
 {
-    double sum = 0;
+    double sum = m_inherited.perSecond(id, account.limit, gateways(), now);
     for (const auto& [name, lost] : m_lost) {
         // Nobody used an account that was not known then.
         auto it = lost.parts.find(id);
@@ -115,6 +120,8 @@
     setMark(now);
     dropSilent(now);
     noteBusy(now);
+    if (!knowsBusy(now))
+        return {};
     std::vector<std::pair<PeerId, QuotaTotals>> all;
     for (auto& [peer, gateway] : m_gateways) {
         if (auto totals = totalsFor(gateway, now); gateway.wantsTotals && (totals.isAll || !totals.totals.empty()))
@@ -126,7 +133,7 @@
 void QuotaExchange::noteBusy(Instant now)
 {
     for (auto& [id, account] : m_accounts) {
-        if (account.limit > 0 && account.recent.perSecond(now) + reserved(id, account) > quota::busyPart * account.limit)
+        if (account.limit > 0 && account.recent.perSecond(now) + reserved(id, account, now) > quota::busyPart * account.limit)
             account.busyUntil = now + busyLasts;
         using News = Account::News;
         auto notBusy = account.news == News::Busy ? News::BusyNoMore : News::None;
@@ -134,10 +141,13 @@
     }
 }
 
+/// A controller that has just started does not know which accounts are busy, and says nothing. Gateways that it told that none is would
+/// forget what the others use, and those that are cut off then take too large a part.
+bool QuotaExchange::knowsBusy(Instant now) const { return m_startedAt && now - *m_startedAt >= ratesShowAfter; }
+
 QuotaTotals QuotaExchange::totalsFor(Gateway& gateway, Instant now)
 {
-    QuotaTotals totals;
-    totals.isAll = std::exchange(gateway.asksForAll, false);
+    QuotaTotals totals { {}, std::exchange(gateway.asksForAll, false), gatewaysSeen() };
     for (const auto& [id, account] : m_accounts) {
         auto it = gateway.shares.find(id);
         bool isAskedFor = it != gateway.shares.end() && now - it->second.askedAt <= busyLasts;
@@ -150,14 +160,17 @@
 AccountTotal QuotaExchange::tellOf(AccountId id, const Account& account, Share& share, Instant now)
 {
     bool wasTold = now - share.toldAt <= 3 * quota::tellEvery;
+    // Soon after the start the rates show little of what goes on; by less of the others' use, gateways that are cut off then would take
+    // their own parts for larger than they are.
+    auto shown = account.rate.shownAfter(now - *m_startedAt);
     auto ownSinceMark = share.mark == m_mark ? share.used - share.usedAtMark : 0;
     auto others = wasTold ? (account.total - share.toldTotal) - (share.used - share.toldUsed)
                           : (account.total - account.totalAtMark) - ownSinceMark;
     share.toldTotal = account.total;
     share.toldUsed = share.used;
     share.toldAt = now;
-    auto perSecond = std::max(0.0, account.rate.perSecond(now) - share.rate.perSecond(now));
-    return { id, others, perSecond, reserved(id, account), account.news == Account::News::Busy };
+    auto othersPerSecond = std::max(0.0, account.rate.perSecond(now) - share.rate.perSecond(now)) / shown;
+    return { id, others, othersPerSecond, reserved(id, account, now), account.news == Account::News::Busy };
 }
 
 } // namespace wrenhinge
--- a/src/request/fleet/QuotaExchange.h
+++ b/src/request/fleet/QuotaExchange.h
@@ -6,14 +6,17 @@
  * report now and then from the gateways that they use, and no telling at all, but to a gateway that asks since it has much of an account.
  *
  * A gateway that is no longer heard may go on by itself (AccountQuota). The part that it may use is told as set aside, until it is
- * heard again, another run of it comes, or it has been away for so long that it is taken to have ended.
+ * heard again, another run of it comes, or it has been away for so long that it is taken to have ended. A controller that starts during a
+ * cut learns from its gateways what was set aside before (InheritedReserve).
  */
 #pragma once
 
 #include "request/fleet/AccountQuota.h"
+#include "request/fleet/InheritedReserve.h"
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -36,6 +39,8 @@
     std::vector<std::pair<PeerId, QuotaTotals>> tell(Instant now);
 
 private:
+    /// Sooner after its start a controller's rates are those of a few requests.
+    static constexpr Duration ratesShowAfter = 500ms;
     /// Use is kept apart from this time on, so that a gateway that was not told lately can be told of the last moments alone.
     static constexpr Duration markEvery = 250ms;
     static constexpr Duration busyMemory = 500ms;
@@ -88,15 +93,19 @@
     void lose(const Gateway&, bool isLinked, Instant now);
     void dropSilent(Instant now);
     void setMark(Instant now);
-    [[nodiscard]] double reserved(AccountId, const Account&) const;
+    [[nodiscard]] double reserved(AccountId, const Account&, Instant now) const;
     [[nodiscard]] std::uint32_t gateways() const;
+    [[nodiscard]] GatewaysSeen gatewaysSeen() const;
     void noteBusy(Instant now);
+    [[nodiscard]] bool knowsBusy(Instant now) const;
     [[nodiscard]] QuotaTotals totalsFor(Gateway&, Instant now);
     AccountTotal tellOf(AccountId, const Account&, Share&, Instant now);
 
     std::unordered_map<AccountId, Account> m_accounts;
     std::map<PeerId, Gateway> m_gateways;
     std::map<std::string, Lost> m_lost; ///< By the gateway's name, which stays over its restarts.
+    std::optional<Instant> m_startedAt; ///< With the first report.
+    InheritedReserve m_inherited { reserveFor };
     std::uint64_t m_mark = 0;
     Instant m_markedAt;
 };
--- a/src/request/fleet/UseRate.h
+++ b/src/request/fleet/UseRate.h
@@ -24,6 +24,9 @@
     }
     [[nodiscard]] double perSecond(Instant now) const { return faded(now) / toSeconds(m_memory); }
 
+    /// The part of a steady use that the rate shows when it has been watched for so long.
+    [[nodiscard]] double shownAfter(Duration time) const { return 1 - std::exp(-toSeconds(time) / toSeconds(m_memory)); }
+
 private:
     [[nodiscard]] double faded(Instant now) const { return m_sum * std::exp(-toSeconds(now - m_at) / toSeconds(m_memory)); }
 
--- a/test/correctness/DoorTest.cpp
+++ b/test/correctness/DoorTest.cpp
@@ -171,6 +171,7 @@
     CHECK(!faultOf(Message(QuotaReport { { { AccountId(7), -3300, 47000, true } }, true, true })));
     CHECK(names(QuotaReport { { { AccountId(7), NAN, 47000 } } }, "uses"));
     CHECK(names(QuotaReport { { { AccountId(7), 1, -1 } } }, "uses"));
+    CHECK(names(QuotaReport { { { AccountId(7), 1, 1, false, -1 } } }, "uses"));
     CHECK(!faultOf(Message(QuotaTotals { { { AccountId(7), -3300, 5000, 0, true } }, true })));
     CHECK(names(QuotaTotals { { { AccountId(7), INFINITY, 0, 0, true } } }, "totals"));
     CHECK(names(QuotaTotals { { { AccountId(7), 0, -1, 0, true } } }, "totals"));
--- a/test/correctness/QuotaTest.cpp
+++ b/test/correctness/QuotaTest.cpp
@@ -142,6 +142,58 @@
     CHECK(fleet.mostInWindow() <= fleet.bound());
 }
 
+TEST_CASE("a controller that starts during a cut sets aside what its former run did")
+{
+    Fleet fleet(14, 2);
+    fleet.pass(3s);
+    fleet.load(rule.perSecond * 3, 6s);
+    fleet.cut(7, 1);
+    SUBCASE("the cut was seen before")
+    {
+        fleet.load(rule.perSecond * 6, 3s);
+        fleet.restartController(0);
+        fleet.restartController(1);
+    }
+    SUBCASE("it was not")
+    {
+        fleet.load(rule.perSecond * 6, 300ms);
+        fleet.restartController(0);
+        fleet.restartController(1);
+    }
+    fleet.load(rule.perSecond * 6, 12s);
+    CHECK(fleet.mostInWindow() <= fleet.bound());
+}
+
+TEST_CASE("a gateway that comes back has its part no longer set aside by a controller that started meanwhile")
+{
+    Fleet fleet(14, 2);
+    fleet.pass(3s);
+    fleet.load(rule.perSecond * 3, 6s);
+    fleet.cut(7, 1);
+    fleet.load(rule.perSecond * 3, 3s);
+    fleet.restartController(0);
+    fleet.restartController(1);
+    fleet.load(rule.perSecond * 0.5, 4s);
+    fleet.heal();
+    fleet.load(rule.perSecond * 0.3, 4s);
+    fleet.refused = 0;
+    fleet.load(rule.perSecond * 0.95, 10s);
+    CHECK(fleet.refused == 0);
+}
+
+TEST_CASE("gateways that are cut off soon after a controller's start take no larger parts than before")
+{
+    Fleet fleet(19, 1);
+    fleet.pass(3s);
+    fleet.load(rule.perSecond * 0.95, 5s);
+    fleet.restartController(0);
+    SUBCASE("two seconds after") { fleet.load(rule.perSecond * 0.95, 2s); }
+    SUBCASE("at once") { fleet.load(rule.perSecond * 0.95, 300ms); }
+    fleet.cut(0, 1);
+    fleet.load(rule.perSecond * 6, 12s);
+    CHECK(fleet.mostInWindow() <= fleet.bound());
+}
+
 TEST_CASE("gateways that wake from a freeze go by nothing that they knew before")
 {
     Fleet fleet(33);
--- a/test/support/QuotaFleet.h
+++ b/test/support/QuotaFleet.h
@@ -192,7 +192,7 @@
             if (!reaches(g, c))
                 continue;
             ++messages;
-            m_controllers[c].take(m_gateways[g].id, { report.uses, report.teller == PeerId(500 + c), report.asksForAll }, now);
+            m_controllers[c].take(m_gateways[g].id, { report.uses, report.teller == PeerId(500 + c), report.asksForAll, report.told }, now);
         }
     }
 
