Settings of quotas and of the retry budget are one type each; a test of one account at six times beside fifteen others

Settings.h held the same fields as QuotaSettings and RetryBudgetSettings, copied one by one in ForwardRole.

--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -111,9 +111,7 @@
               runtime.timers(), [this](document::Effect& effect) { carryDocument(effect); }, document::Tick {}, randomIdentity())
         , m_driver(
               runtime.timers(), [this](forward::Effect& effect) { m_effects.push_back(std::move(effect)); }, forward::Tick {},
-              ForwardLogic::Settings { settings.zone, randomIdentity(),
-                  { settings.retries.ratio, settings.retries.slack, settings.retries.window }, settings.name,
-                  { settings.quotas.window, settings.quotas.excess, settings.quotas.slack } })
+              ForwardLogic::Settings { settings.zone, randomIdentity(), settings.retries, settings.name, settings.quotas })
     {
     }
 
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -190,7 +190,7 @@
             node.mistake("members", "must list this controller '" + self + "' exactly once");
     }
 
-    void readRetries(SettingsNode node, RetrySettings& retries)
+    void readRetries(SettingsNode node, RetryBudgetSettings& retries)
     {
         node.optional("ratio", retries.ratio, parseRatio);
         node.optional("slack", retries.slack, parseRatio);
@@ -198,7 +198,7 @@
         node.refuseUnknown();
     }
 
-    void readQuotas(SettingsNode node, QuotaTolerance& quotas)
+    void readQuotas(SettingsNode node, QuotaSettings& quotas)
     {
         node.optional("window", quotas.window, parsePositiveDuration);
         node.optional("excess", quotas.excess, parseRatio);
--- a/src/process/Settings.h
+++ b/src/process/Settings.h
@@ -8,6 +8,8 @@
 
 #include "connection/CallerSettings.h"
 #include "message/Messages.h"
+#include "request/fleet/AccountQuota.h"
+#include "request/fleet/SharedRetryBudget.h"
 
 #include <optional>
 #include <string>
@@ -58,20 +60,6 @@
     Duration orderLease {};
 };
 
-/// Bounds of what all gateways together send beyond each request's first send, for each service.
-struct RetrySettings {
-    double ratio = 0.2;
-    double slack = 60;
-    Duration window = 10s;
-};
-
-/// How far all gateways together may go beyond what a client account may ask for.
-struct QuotaTolerance {
-    Duration window = 8s;
-    double excess = 0;
-    double slack = 0;
-};
-
 struct Settings {
     Role role = Role::Gateway;
     std::string name;
@@ -85,8 +73,8 @@
     Duration drainLimit = 30s;
     LogSettings log;
     CallerSettings callers;
-    RetrySettings retries;
-    QuotaTolerance quotas;
+    RetryBudgetSettings retries;
+    QuotaSettings quotas;
     std::uint32_t controllerPort = 0; ///< Set: the controllers' peers port, whatever port their addresses name.
     std::uint32_t sidecarPort = 0; ///< Gateways: where the sidecar of an engine listens on its machine; zero: there are none.
     UpstreamSettings upstream;
--- a/test/correctness/AccountTest.cpp
+++ b/test/correctness/AccountTest.cpp
@@ -213,6 +213,123 @@
     CHECK(site.did<Send>().size() == 1);
 }
 
+namespace {
+
+/// Engines with room for half as many callers again as come on an ordinary day, and sixteen accounts with 1.8 times what they send.
+class Town : public Bench {
+public:
+    Town()
+        : Bench({ "zone-1", 1, { 0.2, 60, 10s }, "gateway-1", { 8s, 0, 0 } })
+    {
+        std::vector<AccountRule> accounts;
+        for (int i = 0; i < accountCount; ++i) {
+            accounts.push_back(account("account-" + std::to_string(i), { "key-" + std::to_string(i) }));
+            accounts.back().quota = { QuotaRule::Unit::Tokens, 1.8 * tokens, 2 * tokens, tokens };
+        }
+        post(TakeDocument { documentOf(1, accounts), true });
+        play(5s, {});
+        served.assign(accountCount, 0);
+    }
+
+    /// \param perSecond requests of the first account; each of the others sends one a second.
+    void play(Duration time, std::optional<int> perSecond)
+    {
+        for (auto end = now + time; now < end; ++m_step) {
+            for (int i = 0; perSecond && i < accountCount; ++i) {
+                auto rate = i ? 1 : *perSecond;
+                if ((m_step + 6 * i) * rate % stepsPerSecond < rate)
+                    askFor(i);
+            }
+            if (m_step % stepsPerSecond == 0)
+                hear();
+            wait(Duration(1s) / stepsPerSecond);
+            answer();
+            while (!m_due.empty() && m_due.begin()->first <= now) {
+                auto event = m_due.extract(m_due.begin()).mapped();
+                post(event);
+                answer();
+            }
+        }
+    }
+    std::vector<int> served; ///< By account.
+    int refused = 0; ///< Of others than the first account.
+
+private:
+    static constexpr int accountCount = 16;
+    static constexpr int stepsPerSecond = 100;
+    static constexpr double tokens = 5800;
+
+    void askFor(int account)
+    {
+        auto id = ask("/stream/x", 14s, {}, "key-" + std::to_string(account));
+        m_askedBy[id] = account;
+        answer();
+    }
+
+    void hear()
+    {
+        post(RegistryTold { PeerId(50), { {}, 1 } });
+        answer();
+        post(QuotaTold { PeerId(50), { {}, true } });
+        answer();
+        announce("p1", UpstreamKind::Prefill);
+        for (const auto* id : { "d1", "d2", "d3" })
+            announce(id, UpstreamKind::Decode);
+    }
+
+    void announce(const std::string& id, UpstreamKind kind)
+    {
+        replica(id, kind, ++m_announced);
+        answer();
+    }
+
+    /// The engines' answers to what was done last: a prompt takes 20 ms, an answer a second.
+    void answer()
+    {
+        for (const auto& take : did<TakePlace>())
+            m_due.emplace(now, PlaceTaken { take.id, take.attempt, "place-" + std::to_string(++m_places) });
+        for (const auto& send : did<Send>()) {
+            if (send.isPrefill) {
+                m_due.emplace(now + 20ms, PromptRead { send.id, send.attempt, "kv" });
+                continue;
+            }
+            AnswerFacts facts;
+            facts.status = 200;
+            facts.isStream = true;
+            m_due.emplace(now + 1s, AnswerHead { send.id, send.attempt, facts, {} });
+            m_due.emplace(now + 1s, AnswerBody { send.id, send.attempt, "id: 1\ndata: a\n\n" });
+            m_due.emplace(now + 1s, AnswerEnd { send.id, send.attempt });
+            ++served[m_askedBy.at(send.id)];
+        }
+        for (const auto& refuse : did<Refuse>())
+            refused += m_askedBy.at(refuse.id) != 0;
+    }
+
+    std::multimap<Instant, Event> m_due;
+    std::map<RequestId, int> m_askedBy;
+    int m_step = 0;
+    int m_places = 0;
+    std::uint64_t m_announced = 0;
+};
+
+} // namespace
+
+TEST_CASE("an account that sends six times its usual is served its quota, and the others as on any day")
+{
+    Town usual;
+    usual.play(20s, 1);
+    Town hot;
+    hot.play(20s, 6);
+    CHECK(usual.refused == 0);
+    CHECK(hot.refused == 0);
+    for (std::size_t i = 1; i < hot.served.size(); ++i) {
+        CHECK(usual.served[i] >= 19);
+        CHECK(hot.served[i] >= usual.served[i]);
+    }
+    CHECK(hot.served[0] >= 1.8 * 20 * 0.95);
+    CHECK(hot.served[0] <= 1.8 * 20 + 2 + 1);
+}
+
 TEST_CASE("a request that is refused for want of room costs its account nothing, and one that may have run does")
 {
     LimitedSite site;
