A gateway that changes its controller asks anew which accounts are busy

What callers would see: refusals below the limit. A gateway was told that an account is busy, its controller goes, and the next one does not tell of the account since it is not busy by then. The gateway waited for news of it, kept to its part of the limit, and changed its controller at each report, until it used more than its part and asked. Now each change of the controller asks for all, and an account that is not among them is calm.

--- a/src/request/fleet/AccountQuota.cpp
+++ b/src/request/fleet/AccountQuota.cpp
@@ -150,6 +150,13 @@
         m_othersPerSecond = 0;
 }
 
+void AccountQuota::takeCalm()
+{
+    m_isNew = false;
+    m_isBusy = false;
+    m_othersPerSecond = 0;
+}
+
 void AccountQuota::setContact(bool isHearing, std::uint32_t gateways, Instant now)
 {
     if (isHearing == m_isHearing && gateways == m_gateways)
--- a/src/request/fleet/AccountQuota.h
+++ b/src/request/fleet/AccountQuota.h
@@ -42,9 +42,11 @@
 
     /// The part of a limit that a gateway may use which the others don't hear, and that they set aside for it: by its use, and a rest
     /// to all alike. The parts of all add up to the limit.
-    /// \param reserved what is set aside already, for gateways whose use is not in \param all. Without it, those that are cut off one after
-    /// the other would share the whole limit once more each time. \param own what it used a second, of \param all that all used; zero: not
-    /// known here, and less than `busyPart` of the limit.
+    ///
+    /// \param reserved what is set aside already, for gateways whose use is not in `all`. Without it, those that are cut off one after the
+    /// other would share the whole limit once more each time.
+    ///
+    /// \param own what it used a second, of \param all that all used; zero: not known here, and less than `busyPart` of the limit.
     double partAlone(double limit, double reserved, double own, double all, std::uint32_t gateways);
 
 } // namespace quota
@@ -68,7 +70,7 @@
     /// A controller tells of the use of all others.
     void take(const AccountTotal&, Instant now);
     /// A controller tells of all accounts that are busy, and this is none of them.
-    void takeCalm() { m_isNew = false; }
+    void takeCalm();
     /// \param isHearing some controller is heard. \param gateways that share the limit.
     void setContact(bool isHearing, std::uint32_t gateways, Instant now);
 
--- a/src/request/fleet/AccountQuotas.cpp
+++ b/src/request/fleet/AccountQuotas.cpp
@@ -73,9 +73,13 @@
     m_toldAt = now;
     if (totals.isAll) {
         m_knowsBusy = true;
+        std::set<AccountId> told;
+        for (const auto& total : totals.totals)
+            told.insert(total.account);
         for (auto& [name, quota] : m_accounts) {
             quota.setContact(true, m_gateways, now);
-            quota.takeCalm();
+            if (!told.contains(accountId(name)))
+                quota.takeCalm();
         }
     }
     for (const auto& total : totals.totals) {
@@ -93,6 +97,9 @@
     if (m_teller && m_heardAt.contains(*m_teller) && now - m_heardAt.at(*m_teller) <= contactLasts)
         return;
     m_teller.reset();
+    // What the former one told to be busy may not be so by now, and the new one would not say it: a gateway that waits for news of such an
+    // account keeps to its part of the limit, and refuses callers that the limit allows.
+    m_knowsBusy = false;
     std::uint64_t lowest = 0;
     auto consider = [&](PeerId controller) {
         auto place = XXH3_64bits_withSeed(m_gateway.data(), m_gateway.size(), controller.value());
--- a/test/correctness/QuotaTest.cpp
+++ b/test/correctness/QuotaTest.cpp
@@ -310,6 +310,21 @@
     CHECK(quota.left(later) == doctest::Approx(before - 1000));
 }
 
+TEST_CASE("an account that is no longer busy when a gateway changes its controller is not waited for")
+{
+    Single one;
+    QuotaTotals busy { { { accountId("desk"), 1000, 5000, 0, true } } };
+    one.quotas.take(PeerId(500), busy, later);
+    one.quotas.gone(PeerId(500));
+    one.quotas.heard(PeerId(501), later + 1s);
+    auto report = one.quotas.report(later + 1s);
+    REQUIRE(report);
+    REQUIRE((report->teller == PeerId(501)));
+    if (report->asksForAll)
+        one.quotas.take(PeerId(501), { {}, true }, later + 1s);
+    CHECK(!one.quotas.accounts().at("desk").use(later + 1s).isAlone);
+}
+
 TEST_CASE("whatever fails, no window holds more than is allowed")
 {
     CHECK(rc::check("one failure after the other, under any load", [] {
