--- a/src/request/fleet/AccountQuotas.cpp
+++ b/src/request/fleet/AccountQuotas.cpp
@@ -124,6 +124,7 @@
     m_reportAt = now + reportEvery;
 }
 
+/// For controllers that have just started: they miss those that were counted before and don't come.
 GatewaysSeen AccountQuotas::gatewaysSeen(Instant now) const
 {
     auto seen = now - m_toldAt <= toldLasts ? m_told : GatewaysSeen();
--- a/src/request/fleet/QuotaExchange.h
+++ b/src/request/fleet/QuotaExchange.h
@@ -108,7 +108,7 @@
     std::map<std::string, Lost> m_lost; ///< By the gateway's name, which stays over its restarts.
     std::optional<Instant> m_startedAt; ///< With the first report.
     InheritedReserve m_inherited { reserveFor };
-    std::vector<AccountId> m_news; ///< Accounts that this telling is of.
+    std::vector<AccountId> m_news; ///< Accounts that this telling is of, whoever is told.
     std::uint64_t m_mark = 0;
     Instant m_markedAt;
 };
