A controller works out what is set aside of an account once a telling, not once for each gateway

Found when the change was read again: what is set aside is the same for all who are told, but was summed over all lost gateways for each gateway and account of a telling. noteBusy goes over all accounts at the same instant, so it keeps the sum.

--- a/src/request/fleet/QuotaExchange.cpp
+++ b/src/request/fleet/QuotaExchange.cpp
@@ -138,7 +138,8 @@
 {
     m_news.clear();
     for (auto& [id, account] : m_accounts) {
-        if (account.limit > 0 && account.recent.perSecond(now) + reserved(id, account, now) > quota::busyPart * account.limit)
+        account.reserved = reserved(id, account, now);
+        if (account.limit > 0 && account.recent.perSecond(now) + account.reserved > quota::busyPart * account.limit)
             account.busyUntil = now + busyLasts;
         using News = Account::News;
         auto notBusy = account.news == News::Busy ? News::BusyNoMore : News::None;
@@ -178,7 +179,7 @@
     share.toldUsed = share.used;
     share.toldAt = now;
     auto othersPerSecond = std::max(0.0, account.rate.perSecond(now) - share.rate.perSecond(now)) / shown;
-    return { id, others, othersPerSecond, reserved(id, account, now), account.news == Account::News::Busy };
+    return { id, others, othersPerSecond, account.reserved, account.news == Account::News::Busy };
 }
 
 } // namespace wrenhinge
--- a/src/request/fleet/QuotaExchange.h
+++ b/src/request/fleet/QuotaExchange.h
@@ -63,6 +63,7 @@
         std::array<Mark, 8> marks {};
         UseRate recent { busyMemory };
         UseRate rate { quota::shareMemory };
+        double reserved = 0; ///< As of this telling, the same for all who are told.
         Instant busyUntil;
         enum class News : std::uint8_t { None, Busy, BusyNoMore };
         News news = News::None; ///< Of this telling.
