Log and show the request rate limits that replicas state

Nothing that our processes write tells whether any of them reads the limit, which one it believes, since when, and from whom: the first hypothesis (no process reads it) and the second (each gateway honours it for itself) look alike.

The adapter decodes the header once into StatedRateLimit. Gateways and sidecars keep what is stated by run of the replica (ReplicaLimitTable, CallRateLimiter) and log each change: events 407 and 408 with the limit, the source and a revision. The list of upstreams shows the limit, a gauge counts the limited replicas. No decision uses any of it yet.

--- a/src/base/EventCode.cpp
+++ b/src/base/EventCode.cpp
@@ -50,6 +50,8 @@
         EventRow { EventCode::UpstreamReturned, "UPSTREAM_RETURNED" },
         EventRow { EventCode::StageChanging, "STAGE_CHANGING" },
         EventRow { EventCode::UpstreamRestarted, "UPSTREAM_RESTARTED" },
+        EventRow { EventCode::UpstreamRateLimited, "UPSTREAM_RATE_LIMITED" },
+        EventRow { EventCode::UpstreamRateLimitLifted, "UPSTREAM_RATE_LIMIT_LIFTED" },
         EventRow { EventCode::LeaderElected, "LEADER_ELECTED" },
         EventRow { EventCode::LeaderLost, "LEADER_LOST" },
         EventRow { EventCode::ConfigAccepted, "CONFIG_ACCEPTED" },
--- a/src/base/EventCode.h
+++ b/src/base/EventCode.h
@@ -60,6 +60,8 @@
     UpstreamReturned = 404,
     StageChanging = 405,
     UpstreamRestarted = 406,
+    UpstreamRateLimited = 407,
+    UpstreamRateLimitLifted = 408,
     // 5xx: controllers.
     LeaderElected = 500,
     LeaderLost = 501,
--- a/src/connection/UpstreamClient.cpp
+++ b/src/connection/UpstreamClient.cpp
@@ -1,6 +1,7 @@
 #include "connection/UpstreamClient.h"
 
 #include "connection/EngineProtocol.h"
+#include "connection/RateLimitHeader.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -117,10 +118,12 @@
         const auto& head = m_parser.get();
         m_status = static_cast<int>(head.result_int());
         m_tokens = TokenCounter(isStreamedBody(head));
+        auto headers = headersOf(head);
+        m_rateLimit = readRateLimit(headers, rateLimitName);
         if (m_call.kind != UpstreamKind::Plain && m_status >= 400)
             return fail(true, m_status < 500 ? ResultCode::MalformedRequest : ResultCode::UpstreamFailed);
         if (m_call.kind != UpstreamKind::Prefill)
-            report(sidecar::CallHead { m_call.id, m_status, headersOf(head) });
+            report(sidecar::CallHead { m_call.id, m_status, std::move(headers), m_rateLimit });
         readBody();
     }
 
@@ -174,7 +177,7 @@
         auto answer = parsePrefillAnswer(m_gathered);
         if (!answer)
             return fail(true);
-        finish(sidecar::CallPrefilled { m_call.id, answer.value().kvParams, answer.value().cachedTokens });
+        finish(sidecar::CallPrefilled { m_call.id, answer.value().kvParams, answer.value().cachedTokens, m_rateLimit });
     }
 
     void fail(bool mayHaveRun, ResultCode code = ResultCode::UpstreamFailed)
@@ -208,6 +211,7 @@
     std::array<char, readBytes> m_piece {};
     std::string m_gathered;
     TokenCounter m_tokens;
+    StatedRateLimit m_rateLimit;
     int m_status = 0;
     bool m_done = false;
 };
--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -696,6 +696,18 @@
     MSGPACK_DEFINE(totals, isComplete, gateways)
 };
 
+// --- Request rate limits that replicas state -----------------------------------------------------------------------------
+
+/// What a run of a replica states of the requests that it takes from all gateways together.
+struct ReplicaRateLimit {
+    std::string replica;
+    ReplicaStart start;
+    std::optional<double> perSecond; ///< Unset: it states no limit any more.
+    std::uint64_t revision = 0; ///< How many changes of this limit the gateways had observed one after the other.
+    [[nodiscard]] ReplicaRun run() const { return { replica, start }; }
+    MSGPACK_DEFINE(replica, start, perSecond, revision)
+};
+
 using Message = std::variant<Hello, UpstreamAnnouncement, SlotGrant, Refused, PrefillDone, ResponseHead, ResponseData, ResponseEnd, Failed,
     SealReply, SlotRequest, PrefillRequest, DecodeRequest, Dispatch, Cancel, Seal, Propose, ProposeReply, Watch, ConfigDelta, ConfigApplied,
     VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, RelayedAnnouncement, ReplicaWithdrawn,
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -296,16 +296,19 @@
         bool isMisdirected = false; ///< See AnswerMetadata.
     };
 
-    static ControlCallResult readControlCallResult(const GatheredAnswer& answer, const std::string& caller)
+    ControlCallResult readControlCallResult(
+        const GatheredAnswer& answer, const std::string& caller, const ReplicaRun& replica, Instant calledAt)
     {
         auto metadata = Dialect::readAnswer(answer.head, caller);
+        post(forward::ReplicaAnswered { replica, metadata.rateLimit, calledAt });
         return { answer.head.status == 200 && !metadata.wasNotRun && !metadata.isStream, metadata.wasNotRun, metadata.isMisdirected };
     }
 
     UpstreamCallHandlers prefillHandlers(const forward::Send& send, const std::string& caller)
     {
-        auto onEnd = [this, caller, id = send.id, attempt = send.attempt, replica = send.replica](const GatheredAnswer& answer) {
-            auto result = readControlCallResult(answer, caller);
+        auto onEnd = [this, caller, id = send.id, attempt = send.attempt, replica = send.replica, calledAt = currentInstant()](
+                         const GatheredAnswer& answer) {
+            auto result = readControlCallResult(answer, caller, replica, calledAt);
             auto handle = result.isSuccess ? Dialect::readPrefill(answer.body) : std::nullopt;
             if (result.isSuccess && !handle)
                 m_runtime.refusals().note(InputSource::Report, replica.id, "the answer to a prefill contains no valid KV cache handle");
@@ -324,8 +327,9 @@
             return;
         auto id = reserve.id;
         auto attempt = reserve.attempt;
-        auto onEnd = [this, caller = exchange->callerId, id, attempt, replica = reserve.replica](const GatheredAnswer& answer) {
-            bool isGranted = readControlCallResult(answer, caller).isSuccess;
+        auto onEnd = [this, caller = exchange->callerId, id, attempt, replica = reserve.replica, calledAt = currentInstant()](
+                         const GatheredAnswer& answer) {
+            bool isGranted = readControlCallResult(answer, caller, replica, calledAt).isSuccess;
             auto reservation = isGranted ? Dialect::readPlace(answer.body) : std::nullopt;
             if (isGranted && !reservation)
                 m_runtime.refusals().note(
@@ -505,6 +509,7 @@
             m_metrics.setGauge("wrenhinge_log_lines_left_out", static_cast<double>(m_runtime.log().droppedLines()));
             m_metrics.setGauge("wrenhinge_engines_used", static_cast<double>(logic.replicas().subset().ids().size()));
             m_metrics.setGauge("wrenhinge_document_version", static_cast<double>(logic.documentVersion()));
+            m_metrics.setGauge("wrenhinge_rate_limited_replicas", static_cast<double>(logic.limits().limits().size()));
             m_metrics.setGauge("wrenhinge_keys_refused_total", static_cast<double>(logic.refusedKeys()));
         });
         auto quotaMetrics = m_driver.modify([](ForwardLogic& logic) { return accountMetrics(logic.quotas()); });
@@ -532,6 +537,7 @@
         return m_driver.inspect([](const ForwardLogic& logic) {
             auto now = currentInstant();
             auto list = nlohmann::json::array();
+            auto limits = logic.limits().limits();
             for (const auto& [id, entry] : logic.replicas().registry().entries()) {
                 const auto& announcement = entry.announcement;
                 auto found = logic.replicas().loads().find(announcement.run());
@@ -544,6 +550,8 @@
                     { "mean_seconds", load.meanSeconds },
                     { "load",
                         { { "slots", announcement.slots }, { "occupied", load.calls }, { "queued", 0 }, { "tokens", load.tokens } } } });
+                if (auto limit = limits.find(announcement.run()); limit != limits.end())
+                    list.back()["requests_per_second_limit"] = limit->second;
             }
             return list;
         });
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -39,6 +39,7 @@
     flow->metadata = event.metadata;
     flow->headers = event.headers;
     flow->lastEventAt = now;
+    observeLimit(flow->replica, event.metadata.rateLimit, flow->sentAt, now);
     scheduleCheck(*flow);
 }
 
--- a/src/request/forward/ForwardEvents.h
+++ b/src/request/forward/ForwardEvents.h
@@ -5,6 +5,7 @@
 
 #include "message/Messages.h"
 #include "request/engine/EngineHeadroomTable.h"
+#include "request/fleet/StatedRateLimit.h"
 #include "request/forward/EventSplitter.h"
 #include "version/RoutingDocument.h"
 
@@ -36,6 +37,7 @@
     bool isMisdirected = false; ///< The call reached another replica than the one it was addressed to.
     bool isGenuine = true; ///< For a success: it has the headers that only a replica sets, so it does not come from something in between.
     bool isStream = false;
+    StatedRateLimit rateLimit;
 };
 
 struct Submit {
@@ -67,6 +69,12 @@
     bool mayHaveRun = true;
     std::string reason;
 };
+/// A replica answered a call that the gateway made for itself, such as a prefill or a reservation.
+struct ReplicaAnswered {
+    ReplicaRun replica;
+    StatedRateLimit rateLimit;
+    Instant calledAt;
+};
 /// A slot and KV memory are reserved for the request: by a decode replica, or by its sidecar if the id is empty.
 struct ReservationGranted {
     RequestId id;
@@ -150,7 +158,7 @@
 using wrenhinge::RelayedAnnouncement;
 using wrenhinge::ReplicaWithdrawn;
 using wrenhinge::StageChange;
-using Event = std::variant<Submit, CallerDisconnected, AnswerHead, AnswerBody, AnswerEnd, CallFailed, ReservationGranted,
+using Event = std::variant<Submit, CallerDisconnected, AnswerHead, AnswerBody, AnswerEnd, CallFailed, ReplicaAnswered, ReservationGranted,
     ReservationRefused, SidecarReservationReply, EngineHeadroomReported, PeerDisconnected, RegistryHeartbeatReceived, RegistryListReceived,
     PrefillFinished, PrefillFailed, DocumentReceived, DocumentConfirmed, RelayedAnnouncement, ReplicaWithdrawn, RegistryHeartbeat,
     StageChange, ControllerConnected, CrashesReported, QuotaTotalsReceived, Stop, Tick>;
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -154,6 +154,7 @@
     m_replicas.registry().removeExpired(now);
     m_replicas.forgetEnded();
     m_crashes.dropRefuted(m_replicas.registry(), now);
+    m_limits.dropEnded(m_replicas.registry(), now);
     selectEnginesIfDue(now);
 }
 
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -17,6 +17,7 @@
 #include "request/engine/EngineLoad.h"
 #include "request/fleet/CrashTracker.h"
 #include "request/fleet/RegistryFollower.h"
+#include "request/fleet/ReplicaLimitTable.h"
 #include "request/fleet/SharedRetryBudget.h"
 #include "request/forward/ForwardEffects.h"
 #include "request/forward/ForwardEvents.h"
@@ -81,6 +82,8 @@
     /// Retries that the budget still allows in the current window, by service.
     [[nodiscard]] std::map<std::string, double> retryBudget(Instant now) { return m_budget.remainingByService(now); }
     [[nodiscard]] AccountQuotas& quotas() { return m_quotas; }
+    /// The request rate limits that replicas state.
+    [[nodiscard]] const ReplicaLimitTable& limits() const { return m_limits; }
     /// Number of requests that were refused because their key is missing or belongs to no account.
     [[nodiscard]] std::uint64_t refusedKeys() const { return m_refusedKeys; }
     [[nodiscard]] std::uint64_t documentVersion() const { return m_table ? m_table->version() : 0; }
@@ -94,6 +97,7 @@
     void on(const forward::AnswerBody&, Instant);
     void on(const forward::AnswerEnd&, Instant);
     void on(const forward::CallFailed&, Instant);
+    void on(const forward::ReplicaAnswered&, Instant);
     void on(const forward::ReservationGranted&, Instant);
     void on(const forward::ReservationRefused&, Instant);
     void on(const forward::SidecarReservationReply&, Instant);
@@ -135,6 +139,9 @@
     [[nodiscard]] static double quotaCostOf(const Flow&);
     [[nodiscard]] static std::uint32_t rankOf(const Flow&);
     [[nodiscard]] static std::optional<std::string> accountOf(const Flow&);
+    // Request rate limits that replicas state (ForwardLimits.cpp).
+    void observeLimit(const ReplicaRun&, const StatedRateLimit&, Instant calledAt, Instant);
+    void logLimit(const ReplicaRateLimit&, const std::string& source);
     Flow* current(const RequestId&, Attempt);
     bool send(Flow&, Instant);
     void startCall(Flow&, const ReplicaTable::Choice&, Instant);
@@ -205,6 +212,7 @@
     std::map<std::string, Instant> m_sidecarLinks; ///< Engine address -> when to close the connection; `Instant::max()`: engine in use.
     SharedRetryBudget m_budget;
     AccountQuotas m_quotas;
+    ReplicaLimitTable m_limits;
     std::uint64_t m_refusedKeys = 0;
     std::mt19937_64 m_random;
     std::shared_ptr<const RouteTable> m_table;
--- a/src/request/sidecar/SidecarEvents.h
+++ b/src/request/sidecar/SidecarEvents.h
@@ -5,6 +5,7 @@
 
 #include "base/EventCode.h"
 #include "message/PeerEvents.h"
+#include "request/fleet/StatedRateLimit.h"
 
 #include <string>
 #include <variant>
@@ -35,6 +36,7 @@
         CallId call;
         int status = 0;
         HeaderList headers;
+        StatedRateLimit rateLimit {};
     };
     struct CallData {
         CallId call;
@@ -49,6 +51,7 @@
         CallId call;
         std::string kvParams;
         std::uint32_t cachedTokens = 0;
+        StatedRateLimit rateLimit {};
     };
     /// The call failed before its response was complete, or the engine rejected the request as malformed. `mayHaveRun` is
     /// false only if no byte was sent.
--- a/src/request/sidecar/SidecarLogic.cpp
+++ b/src/request/sidecar/SidecarLogic.cpp
@@ -75,17 +75,28 @@
         event.message);
 }
 
-void SidecarLogic::on(const sidecar::CallHead& event, Instant)
+void SidecarLogic::on(const sidecar::CallHead& event, Instant now)
 {
     auto* work = findWork(event.call);
     if (!work)
         return;
+    observeLimit(event.rateLimit, work->started, now);
     work->answer.status = event.status;
     work->answer.headers = event.headers;
     if (!work->detached)
         send(work->gateway, ResponseHead { work->key.request, work->key.attempt, event.status, event.headers });
 }
 
+void SidecarLogic::observeLimit(const StatedRateLimit& stated, Instant calledAt, Instant now)
+{
+    if (!m_rateLimit.observe(stated, calledAt, now))
+        return;
+    const auto& limit = m_rateLimit.limit();
+    m_effects.push_back(LogEvent { limit ? EventCode::UpstreamRateLimited : EventCode::UpstreamRateLimitLifted, {},
+        limit ? "the upstream takes " + std::to_string(*limit) + " requests per second"
+              : "the upstream states no request rate limit any more" });
+}
+
 void SidecarLogic::on(const sidecar::CallData& event, Instant now)
 {
     auto* work = findWork(event.call);
@@ -115,6 +126,7 @@
         m_effects.push_back(sidecar::ReleaseResult { event.kvParams });
         return;
     }
+    observeLimit(event.rateLimit, work->started, now);
     m_queue.observe(*work, now);
     m_calls.erase(event.call);
     work->stage = WorkStage::HoldsResult;
--- a/src/request/sidecar/SidecarLogic.h
+++ b/src/request/sidecar/SidecarLogic.h
@@ -9,6 +9,7 @@
 
 #include "base/Safeguards.h"
 #include "request/sidecar/AdmissionLedger.h"
+#include "request/sidecar/CallRateLimiter.h"
 #include "request/sidecar/DecodeAdmission.h"
 #include "request/sidecar/QueueAdmission.h"
 #include "request/sidecar/SidecarEvents.h"
@@ -96,6 +97,7 @@
     void refuse(const WorkKey&, ResultCode, Instant);
     void release(const WorkKey&, Instant);
     void finish(Work&, Instant);
+    void observeLimit(const StatedRateLimit&, Instant calledAt, Instant);
     void observeTokens(Work&, std::uint32_t tokens, Instant);
     [[nodiscard]] Duration retryAfter(const Work&, Instant) const;
     Work* findWork(CallId);
@@ -112,6 +114,7 @@
     DecodeAdmission m_decode;
     QueueAdmission m_queue;
     AdmissionLedger m_ledger;
+    CallRateLimiter m_rateLimit; ///< Stated by the upstream, for all calls.
     WorkTable m_work;
     WaitQueue m_waiting; ///< Work in stage Queued.
     WaitQueue m_ready; ///< Work in stage Ready.
