--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -143,8 +143,8 @@
     auto standIn = name + "-standin";
     std::vector<std::string> arguments { buildFolder() + "/test/wrenhinge-standin", "--listen", address(standIn), "--kind", kind, "--slots",
         std::to_string(kind == "prefill" ? 1 : m_plan.slots) };
-    if (kind != "plain")
-        arguments.insert(arguments.end(), m_plan.engineOptions.begin(), m_plan.engineOptions.end());
+    const auto& options = kind == "plain" ? m_plan.plainOptions : m_plan.engineOptions;
+    arguments.insert(arguments.end(), options.begin(), options.end());
     m_plans.push_back({ standIn, arguments });
     std::vector<std::string> controllers;
     for (int k = 1; k <= m_plan.controllers; ++k)
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -26,6 +26,7 @@
     int slots = 20;
     std::string gatewayExtras {}; ///< YAML lines for each gateway's `callers`.
     std::vector<std::string> engineOptions {}; ///< For each engine stand-in.
+    std::vector<std::string> plainOptions {}; ///< For each stand-in of a plain service.
     std::string logLevel = "info";
 };
 
--- a/test/support/StandIn.cpp
+++ b/test/support/StandIn.cpp
@@ -52,6 +52,7 @@
     double tokenMs = 5; ///< Between tokens.
     double resultLifeMs = 800;
     double microsPerTokenLink = 2; ///< Of the transfer of a result.
+    double rateLimit = 0; ///< Requests a second, stated in each answer; zero: none is stated.
 };
 
 /// Slots that are given to waiters by priority, then in order.
@@ -105,6 +106,7 @@
     int completed = 0;
     int cancelled = 0;
     std::map<std::string, int> runs; ///< By Idempotency-Key, else by X-Request-Id.
+    std::vector<std::int64_t> arrivals; ///< When each request arrived, in milliseconds of the steady clock.
 };
 
 class StandIn {
@@ -173,11 +175,18 @@
             co_await releaseResult(call, request);
         else if (target.starts_with("/v1/kv/fetch"))
             co_await handOver(call, target);
-        else if (m_options.kind == "plain")
+        else
+            co_await serveRequest(call, request);
+        call->socket.shutdown(Tcp::socket::shutdown_send, ec);
+    }
+
+    Awaitable<void> serveRequest(CallPtr call, const Request& request)
+    {
+        m_truth.arrivals.push_back(std::chrono::steady_clock::now().time_since_epoch() / 1ms);
+        if (m_options.kind == "plain")
             co_await servePlain(call, request);
         else
             co_await serveEngine(call, request);
-        call->socket.shutdown(Tcp::socket::shutdown_send, ec);
     }
 
     void watch(CallPtr call)
@@ -210,7 +219,12 @@
     {
         co_await write(call,
             "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: " + type + "\r\nContent-Length: " + std::to_string(body.size())
-                + "\r\nConnection: close\r\n\r\n" + body);
+                + "\r\nConnection: close\r\n" + limitHeader() + "\r\n" + body);
+    }
+
+    [[nodiscard]] std::string limitHeader() const
+    {
+        return m_options.rateLimit > 0 ? "Request-Rate-Limit: " + std::to_string(m_options.rateLimit) + "\r\n" : "";
     }
 
     void begin()
@@ -380,8 +394,9 @@
                 co_await respond(call, 200, standin::wholeAnswer(prompt, maxTokens));
             co_return;
         }
-        co_await write(
-            call, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n");
+        co_await write(call,
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n" + limitHeader()
+                + "\r\n");
         for (std::uint32_t i = 0; i < n && !call->gone; ++i) {
             co_await sleep(call, m_options.tokenMs);
             co_await write(call, chunk(standin::streamEvent(prompt, i)));
@@ -402,7 +417,7 @@
         return { { "running", m_truth.running }, { "most_running", m_truth.mostRunning }, { "waiting", m_slots.waiting() },
             { "held_results", m_results.size() }, { "prefilled", m_truth.prefilled }, { "fetched", m_truth.fetched },
             { "released", m_truth.released }, { "expired", m_truth.expired }, { "completed", m_truth.completed },
-            { "cancelled", m_truth.cancelled }, { "runs", m_truth.runs } };
+            { "cancelled", m_truth.cancelled }, { "runs", m_truth.runs }, { "arrivals_ms", m_truth.arrivals } };
     }
 
     IoContext& m_io;
@@ -431,6 +446,7 @@
         { "us-per-token", 0, POPT_ARG_DOUBLE, &options.microsPerToken, 0, "prefill time a token", nullptr },
         { "token-ms", 0, POPT_ARG_DOUBLE, &options.tokenMs, 0, "time between tokens", nullptr },
         { "result-life-ms", 0, POPT_ARG_DOUBLE, &options.resultLifeMs, 0, "life of a prefill's result", nullptr },
+        { "rate-limit", 0, POPT_ARG_DOUBLE, &options.rateLimit, 0, "requests a second, stated in each answer", nullptr },
         { "us-per-token-link", 0, POPT_ARG_DOUBLE, &options.microsPerTokenLink, 0, "transfer time a token", nullptr },
         POPT_AUTOHELP POPT_TABLEEND };
     auto context = poptGetContext("wrenhinge-standin", argc, argv, table, 0);
