Keep the request rate limits that replicas state, over all gateways, under both routers

Callers saw (the users' record): a replica in need that takes 1.5 requests a second gets 31 in 4 s, where 14 are allowed.

Changes have a revision and reach all gateways over the controllers (ReplicaLimitRelay); a process that connects gets all of them. All gateways count their calls together by the mechanism of the account quotas, in a second instance (ReplicaLimits). New in it: smoothing. An isolated gateway has an even share. Requests prefer other replicas; what none may take is refused at once with the time until one may, and more urgent requests get the next permit. Before sidecars a token bucket at the sidecar, where all requests for the upstream pass, does the same.

On the way: AccountQuotas whose last rule was removed would have woken its process for ever, as the time of the next report stayed in the past; not seen at accounts, where the last rule is rarely removed.

--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -11,14 +11,14 @@
 
     using Fault = std::optional<std::string>;
 
-    /// Room for `[IPv6]:port` with all its digits.
+    /// Enough for `[IPv6]:port`, in bytes.
     constexpr std::size_t longestAddress = 64;
-    /// An age is taken on one clock, which other threads may have read a moment later.
+    /// Ages may be slightly negative, as threads read the clock at different times.
     constexpr Duration clockSlack = 1s;
-    /// One region has at most some tens of controllers.
+    /// A region has a few tens of controllers.
     constexpr std::size_t mostControllers = 1024;
 
-    /// Visible characters that end a part of a path or change its meaning.
+    /// Visible characters that have a meaning in paths.
     constexpr std::string_view separators = "/?#%";
 
     bool isVisible(char c) { return c > ' ' && c <= '~'; }
@@ -94,6 +94,13 @@
         return std::nullopt;
     }
 
+    Fault check(const ReplicaRateLimit& limit)
+    {
+        if (limit.perSecond && (!std::isfinite(*limit.perSecond) || *limit.perSecond < 0))
+            return wrong("perSecond", "a finite number from zero", std::to_string(*limit.perSecond));
+        return faultOfId(limit.replica);
+    }
+
     template <typename T> Fault checkEach(const std::vector<T>& list)
     {
         for (const auto& item : list) {
@@ -116,6 +123,12 @@
 
     Fault check(const QuotaTotals& totals) { return checkEach(totals.totals); }
 
+    Fault check(const ReplicaRateLimits& limits) { return checkEach(limits.limits); }
+
+    Fault check(const ReplicaUsageReport& usage) { return check(usage.report); }
+
+    Fault check(const ReplicaUsageTotals& usage) { return check(usage.totals); }
+
     Fault check(const CrashReport& report)
     {
         if (auto fault = checkEach(report.crashes))
--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -708,11 +708,31 @@
     MSGPACK_DEFINE(replica, start, perSecond, revision)
 };
 
+/// Changes of limits, or all of them at the start of a link: from gateways to controllers, between controllers, and from controllers to
+/// gateways.
+struct ReplicaRateLimits {
+    std::vector<ReplicaRateLimit> limits;
+    MSGPACK_DEFINE(limits)
+};
+
+/// From a gateway to all controllers while limits are in force: the calls that it sent to the limited replicas. Each one is counted like
+/// an account, by the hash of its run.
+struct ReplicaUsageReport {
+    QuotaReport report;
+    MSGPACK_DEFINE(report)
+};
+
+/// From a controller to the gateways that use its totals.
+struct ReplicaUsageTotals {
+    QuotaTotals totals;
+    MSGPACK_DEFINE(totals)
+};
+
 using Message = std::variant<Hello, UpstreamAnnouncement, SlotGrant, Refused, PrefillDone, ResponseHead, ResponseData, ResponseEnd, Failed,
     SealReply, SlotRequest, PrefillRequest, DecodeRequest, Dispatch, Cancel, Seal, Propose, ProposeReply, Watch, ConfigDelta, ConfigApplied,
     VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, RelayedAnnouncement, ReplicaWithdrawn,
     RegistryHeartbeat, DocumentOffer, ControllerRoster, ReadIndex, ReadIndexReply, EngineLoadReport, StageChange, DocumentRequest,
     DocumentPart, ReservationRequest, ReservationReply, ReservationEnd, EngineHeadroom, PrefillNotice, RegistryRequest, RegistryList,
-    CrashReport, QuotaReport, QuotaTotals>;
+    CrashReport, QuotaReport, QuotaTotals, ReplicaRateLimits, ReplicaUsageReport, ReplicaUsageTotals>;
 
 } // namespace wrenhinge
--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -82,6 +82,7 @@
               [this](PeerId peer) {
                   m_registrar.peerDown(peer);
                   m_quotaRelay.peerDown(peer);
+                  m_limitRelay.peerDown(peer);
                   post(controller::PeerDown { peer });
               },
               [this](PeerId peer, Message&& message) { onMessage(peer, std::move(message)); },
@@ -90,6 +91,7 @@
     , m_registrar(m_strand, m_hub, runtime.log())
     , m_crashRelay(m_strand, m_hub, runtime.log(), m_registrar.registry())
     , m_quotaRelay(m_strand, m_hub)
+    , m_limitRelay(m_strand, m_hub, m_registrar.registry())
     , m_pages(settings, runtime,
           { [this] {
                std::lock_guard lock(m_logicMutex);
@@ -186,6 +188,7 @@
     m_registrar.peerUp(peer);
     m_crashRelay.peerUp(peer);
     m_quotaRelay.peerUp(peer);
+    m_limitRelay.peerUp(peer);
     if (!isDynamic())
         return;
     sendRoster(peer.id);
@@ -214,6 +217,10 @@
         return m_crashRelay.receive(peer, *crashes);
     if (auto* use = std::get_if<QuotaReport>(&message))
         return m_quotaRelay.receive(peer, std::move(*use));
+    if (auto* limits = std::get_if<ReplicaRateLimits>(&message))
+        return m_limitRelay.receive(peer, std::move(*limits));
+    if (auto* usage = std::get_if<ReplicaUsageReport>(&message))
+        return m_limitRelay.receive(peer, std::move(*usage));
     if (const auto* load = std::get_if<EngineLoadReport>(&message)) {
         if (onEngineLoad)
             onEngineLoad(peer, *load);
--- a/src/process/ControllerRole.h
+++ b/src/process/ControllerRole.h
@@ -12,6 +12,7 @@
 #include "process/PersistedList.h"
 #include "process/QuotaRelay.h"
 #include "process/Registrar.h"
+#include "process/ReplicaLimitRelay.h"
 #include "version/ControllerLogic.h"
 #include "version/LogStorage.h"
 
@@ -84,6 +85,7 @@
     Registrar m_registrar;
     CrashRelay m_crashRelay;
     QuotaRelay m_quotaRelay;
+    ReplicaLimitRelay m_limitRelay;
     std::optional<PersistedReplicas> m_persistedReplicas; ///< Set by `start`.
     std::optional<PersistedCrashes> m_persistedCrashes; ///< Set by `start`.
     AdminPages m_pages;
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -217,6 +217,10 @@
             post(forward::CrashesReported { std::move(*crashes) });
         } else if (auto* totals = std::get_if<QuotaTotals>(&message)) {
             post(forward::QuotaTotalsReceived { peer, std::move(*totals) });
+        } else if (auto* limits = std::get_if<ReplicaRateLimits>(&message)) {
+            post(forward::ReplicaLimitsReceived { std::move(limits->limits) });
+        } else if (auto* usage = std::get_if<ReplicaUsageTotals>(&message)) {
+            post(forward::ReplicaUsageTotalsReceived { peer, std::move(usage->totals) });
         } else if (std::holds_alternative<DocumentOffer>(message) || std::holds_alternative<DocumentPart>(message)) {
             m_documents.post(document::PeerMessage { peer, std::move(message) });
         }
@@ -450,12 +454,28 @@
             sendToControllers(crashes.report);
     }
 
+    static QuotaReport quotaReportFor(PeerId controller, const AccountQuotas::Report& report)
+    {
+        return { report.uses, report.totalsSource == controller, report.asksForAll, report.knownGateways };
+    }
+
     void execute(forward::ReportQuotaUsage& usage)
     {
-        const auto& report = usage.report;
-        sendToControllers([&report](PeerId to) {
-            return QuotaReport { report.uses, report.totalsSource == to, report.asksForAll, report.knownGateways };
-        });
+        sendToControllers([&usage](PeerId to) { return quotaReportFor(to, usage.report); });
+    }
+
+    void execute(forward::ReportReplicaUsage& usage)
+    {
+        sendToControllers([&usage](PeerId to) { return ReplicaUsageReport { quotaReportFor(to, usage.report) }; });
+    }
+
+    void execute(forward::ReportReplicaLimits& report)
+    {
+        ReplicaRateLimits limits { report.limits };
+        if (report.controller)
+            m_hub.send(*report.controller, limits);
+        else
+            sendToControllers(limits);
     }
 
     void sendToControllers(const Message& message)
@@ -504,12 +524,13 @@
             return AdminPages::json(m_driver.modify([](ForwardLogic& logic) { return accountsPage(logic.quotas(), currentInstant()); }));
         if (request.path != "/metrics")
             return AdminPages::notFound(request.path);
-        m_driver.inspect([this](const ForwardLogic& logic) {
+        m_driver.modify([this](ForwardLogic& logic) {
             m_metrics.setGauge("wrenhinge_in_progress", static_cast<double>(logic.requests()));
             m_metrics.setGauge("wrenhinge_log_lines_left_out", static_cast<double>(m_runtime.log().droppedLines()));
             m_metrics.setGauge("wrenhinge_engines_used", static_cast<double>(logic.replicas().subset().ids().size()));
             m_metrics.setGauge("wrenhinge_document_version", static_cast<double>(logic.documentVersion()));
-            m_metrics.setGauge("wrenhinge_rate_limited_replicas", static_cast<double>(logic.limits().limits().size()));
+            m_metrics.setGauge("wrenhinge_rate_limited_replicas", static_cast<double>(logic.limits().size()));
+            m_metrics.setGauge("wrenhinge_rate_limit_refusals_total", static_cast<double>(logic.limits().refusals()));
             m_metrics.setGauge("wrenhinge_keys_refused_total", static_cast<double>(logic.refusedKeys()));
         });
         auto quotaMetrics = m_driver.modify([](ForwardLogic& logic) { return accountMetrics(logic.quotas()); });
@@ -532,12 +553,11 @@
     }
 
     /// The replicas known to this gateway, in the format that `wrenhinge upstream list` reads.
-    nlohmann::json upstreams() const
+    nlohmann::json upstreams()
     {
-        return m_driver.inspect([](const ForwardLogic& logic) {
+        return m_driver.modify([](ForwardLogic& logic) {
             auto now = currentInstant();
             auto list = nlohmann::json::array();
-            auto limits = logic.limits().limits();
             for (const auto& [id, entry] : logic.replicas().registry().entries()) {
                 const auto& announcement = entry.announcement;
                 auto found = logic.replicas().loads().find(announcement.run());
@@ -550,8 +570,8 @@
                     { "mean_seconds", load.meanSeconds },
                     { "load",
                         { { "slots", announcement.slots }, { "occupied", load.calls }, { "queued", 0 }, { "tokens", load.tokens } } } });
-                if (auto limit = limits.find(announcement.run()); limit != limits.end())
-                    list.back()["requests_per_second_limit"] = limit->second;
+                if (auto usage = logic.limits().usage(announcement.run(), now))
+                    list.back()["rate_limit"] = { { "per_second", usage->perSecond }, { "remaining", usage->remaining } };
             }
             return list;
         });
--- a/src/process/SidecarRole.cpp
+++ b/src/process/SidecarRole.cpp
@@ -101,6 +101,8 @@
             json["draining"] = logic.isDraining();
             json["config_version"] = logic.configuration().version().value();
             json["load"] = toJson(logic.load({}, currentInstant()));
+            if (const auto& limit = logic.rateLimit())
+                json["requests_per_second_limit"] = *limit;
         });
         return AdminPages::json(json);
     }
--- a/src/request/fleet/AccountQuota.cpp
+++ b/src/request/fleet/AccountQuota.cpp
@@ -44,6 +44,9 @@
 /// What this gateway may use per second without knowing the usage of the others.
 double AccountQuota::share(Instant now) const
 {
+    // A few requests say nothing about how much of them a gateway will see.
+    if (isSmooth())
+        return m_rule.perSecond / m_gateways;
     auto own = m_ownRate.perSecond(now);
     return quota::isolatedShare(m_rule.perSecond, m_reservedPerSecond, own, m_isBusy ? own + m_othersPerSecond : 0, m_gateways);
 }
@@ -52,7 +55,8 @@
 {
     auto limit = m_rule.perSecond;
     auto spare = unreservedFraction * tolerance() / toSeconds(m_settings.window);
-    auto perSecond = isIsolated(now) ? m_isolatedShare.value_or(share(now)) : limit - std::max(0.0, m_reservedPerSecond - spare);
+    auto isolatedShare = isSmooth() ? share(now) : m_isolatedShare.value_or(share(now));
+    auto perSecond = isIsolated(now) ? isolatedShare : limit - std::max(0.0, m_reservedPerSecond - spare);
     return { perSecond, depth() * perSecond / limit };
 }
 
@@ -82,18 +86,51 @@
 }
 
 AccountQuota::Verdict AccountQuota::admit(double amount, Instant now)
+{
+    if (tryAdmit(amount, now, 0))
+        return {};
+    return { false, recordRefusal(amount, now) };
+}
+
+bool AccountQuota::tryAdmit(double amount, Instant now, double draw)
 {
     if (isLimited()) {
         fill(now);
         // A request may be larger than the bucket, or than this gateway's share of it. It is admitted when the bucket is full, and later
         // requests wait until the debt is filled up.
-        auto needed = isIsolated(now) ? 0 : std::min(amount, allowance(now).depth);
-        if (m_level < needed || m_level <= 0)
-            return { false, recordRefusal(amount, now) };
+        auto needed = isSmooth() || isIsolated(now) ? 0 : std::min(amount, allowance(now).depth);
+        bool isDrawnNow = !isSmooth() || isDrawn(amount, now, draw);
+        if (m_level < needed || m_level <= 0 || !isDrawnNow)
+            return false;
         recordUsage(amount, now);
     }
     ++m_admitted;
-    return {};
+    return true;
+}
+
+/// The part of all gateways' usage that is this gateway's own.
+double AccountQuota::usageFraction(Instant now) const
+{
+    auto own = m_ownRate.perSecond(now);
+    return std::clamp(own / std::max(1e-9, own + m_othersPerSecond), 1.0 / m_gateways, 1.0);
+}
+
+/// Admits with the probability by which all gateways together use up the bucket in the smoothing time, if the others see as much demand
+/// in proportion to their usage.
+bool AccountQuota::isDrawn(double amount, Instant now, double draw)
+{
+    m_demand.add(amount, now);
+    auto fraction = isIsolated(now) ? isolatedSmoothingFraction : usageFraction(now);
+    auto demand = m_demand.perSecond(now) / fraction * toSeconds(m_settings.smoothing);
+    return draw * demand < m_level;
+}
+
+void AccountQuota::charge(double amount, Instant now)
+{
+    if (!isLimited())
+        return;
+    fill(now);
+    recordUsage(amount, now);
 }
 
 void AccountQuota::recordUsage(double amount, Instant now)
@@ -111,17 +148,26 @@
 Duration AccountQuota::recordRefusal(double amount, Instant now)
 {
     ++m_refused;
-    auto own = m_ownRate.perSecond(now);
-    auto usageFraction = std::clamp(own / std::max(1.0, own + m_othersPerSecond), 1.0 / m_gateways, 1.0);
-    auto perSecond = allowance(now).perSecond;
-    m_retryDemand = std::max(0.0, m_retryDemand - perSecond * usageFraction * toSeconds(now - m_retryDemandAt));
+    auto delay = timeUntil(amount, now);
+    m_retryDemand += amount;
+    return m_isNew && m_hasContact ? std::min(delay, firstTotalDelay) : delay;
+}
+
+void AccountQuota::decayRetryDemand(Instant now)
+{
+    auto retried = allowance(now).perSecond * usageFraction(now) * toSeconds(now - m_retryDemandAt);
+    m_retryDemand = std::max(0.0, m_retryDemand - retried);
     m_retryDemandAt = now;
+}
+
+Duration AccountQuota::timeUntil(double amount, Instant now)
+{
+    fill(now);
+    decayRetryDemand(now);
     // The other gateways are assumed to refuse in proportion to their usage, so the demand of the whole account is this gateway's demand
     // divided by its part of the usage.
-    auto deficit = std::max(0.0, std::min(amount, depth()) - m_level) + m_retryDemand / usageFraction;
-    m_retryDemand += amount;
-    auto delay = fromSeconds(deficit / std::max(1.0, perSecond));
-    return m_isNew && m_hasContact ? std::min(delay, firstTotalDelay) : delay;
+    auto deficit = std::max(0.0, std::min(amount, depth()) - m_level) + m_retryDemand / usageFraction(now);
+    return fromSeconds(deficit / std::max(minRetryPerSecond, allowance(now).perSecond));
 }
 
 void AccountQuota::refund(double amount, Instant now)
--- a/src/request/fleet/AccountQuotas.cpp
+++ b/src/request/fleet/AccountQuotas.cpp
@@ -18,7 +18,9 @@
             it->second.setRule(rule);
         m_names[accountId(name)] = name;
     }
-    if (m_reportAt == Instant::max() && !m_accounts.empty())
+    if (m_accounts.empty())
+        m_reportAt = Instant::max();
+    else if (m_reportAt == Instant::max())
         m_reportAt = now;
 }
 
@@ -52,11 +54,34 @@
     if (!quota)
         return {};
     auto verdict = quota->admit(amount, now);
-    if (quota->unreported() > quota->reportThreshold() || quota->asksForTotal())
-        m_reportAt = std::min(m_reportAt, now + promptReportDelay);
+    scheduleReport(*quota, now);
     return verdict;
 }
 
+bool AccountQuotas::tryAdmit(const std::string& account, double amount, Instant now)
+{
+    auto* quota = find(account, now);
+    if (!quota)
+        return true;
+    bool isAdmitted = quota->tryAdmit(amount, now, std::uniform_real_distribution<double>()(m_random));
+    scheduleReport(*quota, now);
+    return isAdmitted;
+}
+
+void AccountQuotas::charge(const std::string& account, double amount, Instant now)
+{
+    if (auto* quota = find(account, now)) {
+        quota->charge(amount, now);
+        scheduleReport(*quota, now);
+    }
+}
+
+void AccountQuotas::scheduleReport(const AccountQuota& quota, Instant now)
+{
+    if (quota.unreported() > quota.reportThreshold() || quota.asksForTotal())
+        m_reportAt = std::min(m_reportAt, now + promptReportDelay);
+}
+
 void AccountQuotas::refund(const std::string& account, double amount, Instant now)
 {
     if (auto* quota = find(account, now))
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -194,7 +194,7 @@
 bool ForwardLogic::resend(Flow& flow, Instant now)
 {
     bool isPossible
-        = mayRunAgain(flow) && !crashesReplicas(flow, now) && flow.sends < maxSends && m_replicas.choose(criteriaOf(flow), flow.tried, now);
+        = mayRunAgain(flow) && !crashesReplicas(flow, now) && flow.sends < maxSends && choose(flow, criteriaOf(flow), flow.tried, now);
     return isPossible && m_budget.take(flow.service, now) && (repeatPrefill(flow, now) || send(flow, now));
 }
 
@@ -214,6 +214,8 @@
     }
     if (crashesReplicas(flow, now))
         return refuseAsCrashing(flow, now);
+    if (auto delay = flow.runs ? std::nullopt : limitRetryAfter(flow, now))
+        return refuseUntil(flow, ResultCode::Overloaded, reason, delay, now);
     auto notRun = flow.refusals ? ResultCode::Overloaded : ResultCode::NoUpstream;
     refuse(flow, flow.runs ? ResultCode::UpstreamFailed : notRun, reason, now);
 }
@@ -278,8 +280,8 @@
         m_engineLoad.finish(flow.service, *flow.admittedAt, code == ResultCode::Ok, now);
     m_effects.push_back(Finished { flow.route ? flow.route->name : "", code, flow.sends, flow.timeToFirstByte, flow.reservationWait });
     refundQuota(flow, code, now);
-    releaseKvSource(flow);
-    releaseReservation(flow);
+    releaseKvSource(flow, now);
+    releaseReservation(flow, now);
     endSidecarReservation(flow, false);
     auto id = flow.id;
     m_queue.remove(id);
--- a/src/request/forward/ForwardCrashes.cpp
+++ b/src/request/forward/ForwardCrashes.cpp
@@ -74,6 +74,8 @@
 {
     // The controller may have restarted and lost what it knew.
     reportCrashes(event.controller, m_crashes.describeAll(CrashTracker::Status::Unknown, now));
+    if (auto limits = m_limits.all(); !limits.empty())
+        m_effects.push_back(ReportReplicaLimits { event.controller, std::move(limits) });
 }
 
 void ForwardLogic::on(const CrashesReported& event, Instant now)
--- a/src/request/forward/ForwardEffects.h
+++ b/src/request/forward/ForwardEffects.h
@@ -161,8 +161,17 @@
 struct ReportQuotaUsage {
     AccountQuotas::Report report;
 };
+/// Report to one controller or to all of them which request rate limits replicas state.
+struct ReportReplicaLimits {
+    std::optional<PeerId> controller; ///< Unset: all controllers.
+    std::vector<ReplicaRateLimit> limits;
+};
+/// Report to all controllers how many calls were sent to replicas with a limit.
+struct ReportReplicaUsage {
+    AccountQuotas::Report report;
+};
 using Effect = std::variant<Send, CancelCall, ReserveAtReplica, ReserveAtSidecar, EndSidecarReservation, NotifyPrefill, ReleaseReservation,
     ReleaseKvCache, Reply, Refuse, BeginStream, StreamBytes, EndStream, AbortStream, Finished, DropConnections, SetLimits, ConnectSidecar,
-    DisconnectSidecar, FetchRegistry, ReportLoad, ReportCrashes, ReportQuotaUsage, LogEvent>;
+    DisconnectSidecar, FetchRegistry, ReportLoad, ReportCrashes, ReportQuotaUsage, ReportReplicaLimits, ReportReplicaUsage, LogEvent>;
 
 } // namespace wrenhinge::forward
--- a/src/request/forward/ForwardEvents.h
+++ b/src/request/forward/ForwardEvents.h
@@ -148,6 +148,15 @@
     PeerId controller;
     QuotaTotals totals;
 };
+/// A controller sent request rate limits that other gateways have observed at replicas.
+struct ReplicaLimitsReceived {
+    std::vector<ReplicaRateLimit> limits;
+};
+/// A controller reported how many calls the other gateways send to replicas with a limit.
+struct ReplicaUsageTotalsReceived {
+    PeerId controller;
+    QuotaTotals totals;
+};
 /// The process is shutting down. Answers that are not complete at the deadline are cut off.
 struct Stop {
     Instant deadline;
@@ -161,6 +170,6 @@
 using Event = std::variant<Submit, CallerDisconnected, AnswerHead, AnswerBody, AnswerEnd, CallFailed, ReplicaAnswered, ReservationGranted,
     ReservationRefused, SidecarReservationReply, EngineHeadroomReported, PeerDisconnected, RegistryHeartbeatReceived, RegistryListReceived,
     PrefillFinished, PrefillFailed, DocumentReceived, DocumentConfirmed, RelayedAnnouncement, ReplicaWithdrawn, RegistryHeartbeat,
-    StageChange, ControllerConnected, CrashesReported, QuotaTotalsReceived, Stop, Tick>;
+    StageChange, ControllerConnected, CrashesReported, QuotaTotalsReceived, ReplicaLimitsReceived, ReplicaUsageTotalsReceived, Stop, Tick>;
 
 } // namespace wrenhinge::forward
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -46,6 +46,7 @@
     , m_replicas(m_settings.zone, m_settings.seed, m_settings.name)
     , m_budget(m_settings.budget)
     , m_quotas(m_settings.quotas, m_settings.name)
+    , m_limits(m_settings.name, m_settings.seed)
     , m_random(m_settings.seed)
 {
 }
@@ -63,8 +64,8 @@
 
 Instant ForwardLogic::nextWake() const
 {
-    auto next
-        = std::min({ m_queue.nextExpiry(), m_retryAdmissionAt, m_loadReportAt, m_registryFollower.nextWake(), m_quotas.nextReport() });
+    auto next = std::min({ m_queue.nextExpiry(), m_retryAdmissionAt, m_loadReportAt, m_registryFollower.nextWake(), m_quotas.nextReport(),
+        m_limits.nextReport() });
     if (m_table && !m_awaitingDocument.empty())
         next = std::min(next, m_firstDocumentAt + unconfirmedDocumentDelay);
     return m_wakes.empty() ? next : std::min(next, m_wakes.begin()->first);
@@ -150,6 +151,7 @@
     m_replicas.noteControllerContact(now);
     m_budget.setGateways(event.gateways, now);
     m_quotas.setGateways(m_budget.gateways());
+    m_limits.counts().setGateways(m_budget.gateways());
     m_replicas.registry().renew(event, now);
     m_replicas.registry().removeExpired(now);
     m_replicas.forgetEnded();
@@ -308,6 +310,8 @@
         return refuseAsCrashing(flow, now);
     if (send(flow, now))
         return;
+    if (auto delay = limitRetryAfter(flow, now))
+        return refuseUntil(flow, ResultCode::Overloaded, "the request rate limits of the service's replicas are used up", delay, now);
     auto criteria = criteriaOf(flow);
     if (m_replicas.hasReady(criteria.service, criteria.kind))
         refuse(flow, ResultCode::Overloaded, "no replica of the service can take another call", now);
@@ -401,6 +405,10 @@
     flow.hasLostKvCache = false;
     Send send { flow.id, {}, choice->run, choice->address, flow.deadline - now, std::nullopt, false, std::nullopt, {}, {}, {} };
     send.account = accountOf(flow);
+    // A reservation at a sidecar has been counted as the call that it is for.
+    bool isCounted = flow.reservation && flow.reservation->id.empty();
+    if (!isCounted)
+        m_limits.recordCall(choice->run, now);
     if (auto reservation = std::exchange(flow.reservation, std::nullopt)) {
         m_replicas.release(reservation->replica, reservedTokensOf(flow));
         send.reservation = reservation->id;
@@ -519,6 +527,7 @@
     refuseExpired(now);
     reportLoad(now);
     reportQuotaUsage(now);
+    reportReplicaUsage(now);
     if (m_retryAdmissionAt <= now) {
         m_retryAdmissionAt = Instant::max();
         m_shouldAdmit = true;
@@ -555,7 +564,7 @@
     // While replicas are full, a second call would only make both late.
     bool isOverloaded = flow.stage == Flow::Stage::Running && m_shedder.refusedShare(flow.service) > 0;
     bool mayGoOn = !isOverloaded && flow.isCalling && flow.stage == Flow::Stage::Running && flow.runs + 1 < flow.route->maxAttempts
-        && flow.sends < maxSends && !crashesReplicas(flow, now) && m_replicas.choose(criteriaOf(flow), flow.tried, now);
+        && flow.sends < maxSends && !crashesReplicas(flow, now) && choose(flow, criteriaOf(flow), flow.tried, now);
     if (!mayGoOn || !m_budget.take(flow.service, now)) {
         flow.nextCheckAt = flow.deadline;
         m_wakes.insert({ flow.nextCheckAt, flow.id });
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -9,6 +9,8 @@
  * - A request that crashes the replicas which run it is refused, whichever gateway receives it (CrashTracker).
  * - If the document has accounts, a request runs only for the account whose key its caller presents.
  * - A request of an account that has used up its quota is refused before any other resource is used.
+ * - A replica that states a request rate limit gets no more than that from all gateways together (ReplicaLimits). Other replicas of its
+ *   service are used instead; if there are none, the request is refused at once.
  * - While the process shuts down, a stream that might outlive it is refused at once (StreamForecast).
  * - At the route's timeout or the caller's timeout, whichever is earlier, the caller has a final answer and the replica is released.
  */
@@ -17,7 +19,7 @@
 #include "request/engine/EngineLoad.h"
 #include "request/fleet/CrashTracker.h"
 #include "request/fleet/RegistryFollower.h"
-#include "request/fleet/ReplicaLimitTable.h"
+#include "request/fleet/ReplicaLimits.h"
 #include "request/fleet/SharedRetryBudget.h"
 #include "request/forward/ForwardEffects.h"
 #include "request/forward/ForwardEvents.h"
@@ -83,7 +85,7 @@
     [[nodiscard]] std::map<std::string, double> retryBudget(Instant now) { return m_budget.remainingByService(now); }
     [[nodiscard]] AccountQuotas& quotas() { return m_quotas; }
     /// The request rate limits that replicas state.
-    [[nodiscard]] const ReplicaLimitTable& limits() const { return m_limits; }
+    [[nodiscard]] ReplicaLimits& limits() { return m_limits; }
     /// Number of requests that were refused because their key is missing or belongs to no account.
     [[nodiscard]] std::uint64_t refusedKeys() const { return m_refusedKeys; }
     [[nodiscard]] std::uint64_t documentVersion() const { return m_table ? m_table->version() : 0; }
@@ -116,6 +118,8 @@
     void on(const forward::ControllerConnected&, Instant);
     void on(const forward::CrashesReported&, Instant);
     void on(const forward::QuotaTotalsReceived&, Instant);
+    void on(const forward::ReplicaLimitsReceived&, Instant);
+    void on(const forward::ReplicaUsageTotalsReceived&, Instant);
     void on(const forward::Stop&, Instant);
     void on(const forward::Tick&, Instant);
 
@@ -142,6 +146,9 @@
     // Request rate limits that replicas state (ForwardLimits.cpp).
     void observeLimit(const ReplicaRun&, const StatedRateLimit&, Instant calledAt, Instant);
     void logLimit(const ReplicaRateLimit&, const std::string& source);
+    void reportReplicaUsage(Instant);
+    std::optional<ReplicaTable::Choice> choose(const Flow&, const ReplicaTable::Criteria&, const std::set<ReplicaRun>& tried, Instant);
+    std::optional<Duration> limitRetryAfter(const Flow&, Instant);
     Flow* current(const RequestId&, Attempt);
     bool send(Flow&, Instant);
     void startCall(Flow&, const ReplicaTable::Choice&, Instant);
@@ -173,8 +180,8 @@
     void abandonFormerRuns(const ReplicaRun& newest, Instant);
     void abandonFormerRuns(Flow&, const ReplicaRun& newest, Instant);
     void abandonCallToFormerRun(Flow&, Instant);
-    void releaseKvSource(Flow&);
-    void releaseReservation(Flow&);
+    void releaseKvSource(Flow&, Instant);
+    void releaseReservation(Flow&, Instant);
     std::optional<ReplicaTable::Choice> chooseForRun(Flow&, Instant);
     [[nodiscard]] Instant admitBy(const Flow&) const;
     [[nodiscard]] Duration timeSpentBefore(const Flow&) const;
@@ -212,7 +219,7 @@
     std::map<std::string, Instant> m_sidecarLinks; ///< Engine address -> when to close the connection; `Instant::max()`: engine in use.
     SharedRetryBudget m_budget;
     AccountQuotas m_quotas;
-    ReplicaLimitTable m_limits;
+    ReplicaLimits m_limits;
     std::uint64_t m_refusedKeys = 0;
     std::mt19937_64 m_random;
     std::shared_ptr<const RouteTable> m_table;
--- a/src/request/forward/ForwardReservations.cpp
+++ b/src/request/forward/ForwardReservations.cpp
@@ -58,7 +58,7 @@
         auto& flow = m_flows.at(id);
         auto criteria = criteriaOf(flow);
         criteria.excludeFull = true;
-        if (auto choice = m_replicas.choose(criteria, {}, now)) {
+        if (auto choice = choose(flow, criteria, {}, now)) {
             m_queue.remove(id);
             requestReservation(flow, *choice, now);
         }
@@ -70,6 +70,7 @@
 {
     flow.stage = Flow::Stage::Reserving;
     startCall(flow, choice, now);
+    m_limits.recordCall(choice.run, now);
     const auto& engine = engineRule(flow)->engine;
     if (const auto* headroom = m_replicas.engineHeadroom().find(choice.address)) {
         flow.reservationSidecar = headroom->sidecar;
@@ -92,6 +93,7 @@
     if (event.isGranted)
         return on(ReservationGranted { event.id, event.attempt, "" }, now);
     flow->reservationSidecar.reset();
+    m_limits.undoCall(flow->replica, now);
     on(ReservationRefused { event.id, event.attempt, true }, now);
 }
 
@@ -153,30 +155,33 @@
     return std::min<Duration>(Duration(spread), (flow.deadline - now) * 10 / 31);
 }
 
-void ForwardLogic::releaseReservation(Flow& flow)
+void ForwardLogic::releaseReservation(Flow& flow, Instant now)
 {
     auto reservation = std::exchange(flow.reservation, std::nullopt);
     if (!reservation)
         return;
     m_replicas.release(reservation->replica, reservedTokensOf(flow));
-    if (flow.reservationSidecar)
+    if (flow.reservationSidecar) {
+        m_limits.undoCall(reservation->replica, now);
         endSidecarReservation(flow, false);
-    else
+    } else {
+        m_limits.recordCall(reservation->replica, now);
         m_effects.push_back(ReleaseReservation { std::move(*reservation) });
+    }
 }
 
 /// Chooses the replica that runs the request: the one with the reservation, if it still accepts work.
 std::optional<ReplicaTable::Choice> ForwardLogic::chooseForRun(Flow& flow, Instant now)
 {
     if (flow.kvSource && flow.kvSourceExpiresAt <= now)
-        releaseKvSource(flow);
+        releaseKvSource(flow, now);
     if (flow.reservation && m_replicas.isReady(flow.reservation->replica))
         return ReplicaTable::Choice { flow.reservation->replica, flow.reservation->address };
-    releaseReservation(flow);
+    releaseReservation(flow, now);
     auto criteria = criteriaOf(flow);
     if (flow.kvSource)
         criteria.preferredZone = m_replicas.zoneOf(flow.kvSource->replica);
-    return m_replicas.choose(criteria, flow.tried, now);
+    return choose(flow, criteria, flow.tried, now);
 }
 
 // --- Prefill ----------------------------------------------------------------------------------------------------
@@ -200,12 +205,13 @@
     // A refused prefill counts as a retry. After a restart of the whole site, the gateways know many replicas that have restarted under
     // other ids. Each gateway finds that out for each of them by a refusal, and hundreds of requests are refused twice.
     criteria.excludeOverdue = m_budget.remaining(flow.service, now) < 1;
-    auto choice = m_replicas.choose(criteria, flow.triedPrefillReplicas, now);
+    auto choice = choose(flow, criteria, flow.triedPrefillReplicas, now);
     if (!choice)
         return false;
     flow.stage = Flow::Stage::Prefilling;
     flow.triedPrefillReplicas.insert(choice->run);
     startCall(flow, *choice, now);
+    m_limits.recordCall(choice->run, now);
     if (const auto* headroom = m_replicas.engineHeadroom().find(choice->address)) {
         flow.prefillSidecar = headroom->sidecar;
         m_replicas.engineHeadroom().addPrefill(choice->address, flow.request.promptTokens);
@@ -288,10 +294,13 @@
 /// The call with the KV cache source didn't reach its replica, so the cache wasn't fetched and can be used by another one.
 void ForwardLogic::restoreKvSource(Flow& flow) { flow.kvSource = std::exchange(flow.sentKvSource, std::nullopt); }
 
-void ForwardLogic::releaseKvSource(Flow& flow)
+void ForwardLogic::releaseKvSource(Flow& flow, Instant now)
 {
-    if (auto source = std::exchange(flow.kvSource, std::nullopt))
-        m_effects.push_back(ReleaseKvCache { std::move(*source) });
+    auto source = std::exchange(flow.kvSource, std::nullopt);
+    if (!source)
+        return;
+    m_limits.recordCall(source->replica, now);
+    m_effects.push_back(ReleaseKvCache { std::move(*source) });
 }
 
 } // namespace wrenhinge
--- a/src/request/sidecar/SidecarLogic.cpp
+++ b/src/request/sidecar/SidecarLogic.cpp
@@ -123,7 +123,7 @@
     auto* work = findWork(event.call);
     if (!work) {
         // Cancelled before the prefill's answer arrived: no decode engine will fetch the result, so release it now.
-        m_effects.push_back(sidecar::ReleaseResult { event.kvParams });
+        releaseResult(event.kvParams, now);
         return;
     }
     observeLimit(event.rateLimit, work->started, now);
@@ -246,10 +246,13 @@
     work.call.path = m.path;
     work.call.body = m.body;
     work.call.kvParams = m.kvParams;
-    if (!isGranted && (isDraining() || !m_decode.mayAdmitWithoutGrant(m_work, work, now))) {
+    bool isPossible = isGranted || (!isDraining() && m_rateLimit.mayCall(now) && m_decode.mayAdmitWithoutGrant(m_work, work, now));
+    if (!isPossible) {
         refuse(key, isDraining() ? ResultCode::Draining : ResultCode::Overloaded, now);
         return;
     }
+    if (!isGranted)
+        m_rateLimit.recordCall(now);
     work.stage = WorkStage::Ready;
     work.stageExpiresAt = now + m.budget;
     m_ready.add(work);
@@ -333,6 +336,9 @@
     report.backlog = isDecode ? m_decode.predictedWait(m_work, Priority::Normal, now) : m_queue.backlog(m_work, Priority::Normal, now);
     report.urgentBacklog
         = isDecode ? m_decode.predictedWait(m_work, Priority::Urgent, now) : m_queue.backlog(m_work, Priority::Urgent, now);
+    // Queued work of any priority waits for the limit in turn; only urgent work passes by the rest.
+    report.backlog = std::max(report.backlog, m_rateLimit.waitFor(m_waiting.size(), now));
+    report.urgentBacklog = std::max(report.urgentBacklog, m_rateLimit.waitFor(0, now));
     return report;
 }
 
--- a/src/request/sidecar/SidecarLogic.h
+++ b/src/request/sidecar/SidecarLogic.h
@@ -58,6 +58,8 @@
     /// Whether the configuration is known to be at least as new as every one that was applied here before.
     [[nodiscard]] bool isConfirmed() const { return m_follower.isConfirmed(); }
     [[nodiscard]] const SidecarOptions& options() const { return m_options; }
+    /// The request rate limit that the upstream states, per second.
+    [[nodiscard]] const std::optional<double>& rateLimit() const { return m_rateLimit.limit(); }
 
 private:
     struct Gateway {
@@ -96,6 +98,8 @@
     void grant(Work&, Instant);
     void refuse(const WorkKey&, ResultCode, Instant);
     void release(const WorkKey&, Instant);
+    void undoRecordedCall(const Work&, Instant);
+    void releaseResult(std::string kvParams, Instant);
     void finish(Work&, Instant);
     void observeLimit(const StatedRateLimit&, Instant calledAt, Instant);
     void observeTokens(Work&, std::uint32_t tokens, Instant);
--- a/src/request/sidecar/SidecarScheduling.cpp
+++ b/src/request/sidecar/SidecarScheduling.cpp
@@ -64,21 +64,25 @@
 void SidecarLogic::scheduleQueue(Instant now)
 {
     QueueAdmission::WaitPredictor predictor(m_queue, now);
+    std::size_t ahead = 0; ///< Waiting work of a higher priority, which is sent first.
     for (const auto& [call, key] : m_calls)
         predictor.addRunning(m_work.at(key));
     for (const auto& key : m_waiting.keys()) {
         auto& work = m_work.at(key);
-        auto wait = predictor.hasFreeSlot() ? Duration::zero() : predictor.wait();
+        auto slotWait = predictor.hasFreeSlot() ? Duration::zero() : predictor.wait();
+        auto wait = std::max(slotWait, m_rateLimit.waitFor(ahead, now));
         // The deadline of a plain call applies to its start, that of a prefill to its end.
         bool inTime = m_options.kind == UpstreamKind::Plain ? now + wait <= work.deadline : m_queue.canCompleteInTime(work, wait, now);
         if (!inTime) {
             refuse(key, ResultCode::DeadlineUnreachable, now);
-        } else if (predictor.hasFreeSlot()) {
+        } else if (predictor.hasFreeSlot() && m_rateLimit.mayCall(now)) {
+            m_rateLimit.recordCall(now);
             m_waiting.remove(work);
             start(work, now);
             predictor.addRunning(work);
         } else {
             predictor.addWaiting(work);
+            ++ahead;
         }
     }
 }
@@ -87,14 +91,19 @@
 {
     startReady(now);
     bool isBlocked = false;
+    std::size_t ahead = 0;
     for (const auto& key : m_waiting.keys()) {
         auto& work = m_work.at(key);
         auto decision = m_decode.decide(m_work, work, now);
-        if (decision == DecodeAdmission::Decision::Refuse)
+        bool isLimitedTooLong = now + m_rateLimit.waitFor(ahead, now) > work.deadline;
+        if (decision == DecodeAdmission::Decision::Refuse || isLimitedTooLong) {
             refuse(key, ResultCode::DeadlineUnreachable, now);
-        else if (decision == DecodeAdmission::Decision::Wait)
-            isBlocked = true;
-        else if (!isBlocked)
+            continue;
+        }
+        isBlocked = isBlocked || decision == DecodeAdmission::Decision::Wait || !m_rateLimit.mayCall(now);
+        if (isBlocked)
+            ++ahead;
+        else
             grant(work, now);
     }
 }
@@ -130,6 +139,8 @@
 void SidecarLogic::grant(Work& work, Instant now)
 {
     m_waiting.remove(work);
+    // The grant is for one call.
+    m_rateLimit.recordCall(now);
     work.stage = WorkStage::Granted;
     auto life = m_decode.grantLife(work);
     work.stageExpiresAt = now + life;
@@ -140,6 +151,7 @@
 {
     auto it = m_work.find(key);
     auto work = std::move(it->second);
+    undoRecordedCall(work, now);
     auto retryDelay = retryAfter(work, now);
     m_waiting.remove(work);
     m_ready.remove(work);
@@ -165,8 +177,9 @@
         if (m_options.kind == UpstreamKind::Decode)
             m_decode.observeHold(work, now);
     }
+    undoRecordedCall(work, now);
     if (work.stage == WorkStage::HoldsResult)
-        m_effects.push_back(sidecar::ReleaseResult { work.kvParams });
+        releaseResult(work.kvParams, now);
     if (!work.ledgerKey.empty())
         m_ledger.withdraw(work.ledgerKey, key.attempt);
     m_waiting.remove(work);
@@ -175,6 +188,19 @@
     m_work.erase(it);
 }
 
+/// A grant that was not used needs no call.
+void SidecarLogic::undoRecordedCall(const Work& work, Instant now)
+{
+    if (work.stage == WorkStage::Granted || work.stage == WorkStage::Ready)
+        m_rateLimit.undoCall(now);
+}
+
+void SidecarLogic::releaseResult(std::string kvParams, Instant now)
+{
+    m_rateLimit.recordCall(now);
+    m_effects.push_back(sidecar::ReleaseResult { std::move(kvParams) });
+}
+
 void SidecarLogic::finish(Work& work, Instant now)
 {
     auto key = work.key;
@@ -213,7 +239,7 @@
 {
     auto wait = m_options.kind == UpstreamKind::Decode ? m_decode.predictedWait(m_work, work.priority, now)
                                                        : m_queue.backlog(m_work, work.priority, now);
-    return std::max(minRetryAfter, wait);
+    return std::max({ minRetryAfter, wait, m_rateLimit.waitFor(m_waiting.size(), now) });
 }
 
 Work* SidecarLogic::findWork(CallId call)
--- a/test/correctness/DoorTest.cpp
+++ b/test/correctness/DoorTest.cpp
@@ -37,7 +37,7 @@
 
 TEST_CASE("a flood of entries that can't be used is counted whole and told in a few short lines")
 {
-    // Symptom: nothing else is left in the log. Sequence: a writer sends thousands of entries a second. Cause: a line for each.
+    // Guards against a flood of invalid input that crowds everything else out of the log.
     LogSettings settings;
     EventLog log(settings, "test");
     RefusalLog refusals(log);
@@ -62,8 +62,7 @@
 
 TEST_CASE("a writer that draws a new id for each announcement doesn't fill the memory")
 {
-    // Symptom: controllers and gateways end, out of memory. Sequence: announcements of a service that nobody configured, each under
-    // an id of its own. Cause: each entry was kept for a minute, however many there were.
+    // Guards against controllers and gateways that run out of memory over announcements with ever new ids.
     ReplicaRegistry registry;
     RegistryLimits bounds;
     Instant now { 1h };
@@ -98,8 +97,7 @@
 
 TEST_CASE("an answer without end to a call of our own is not kept without end")
 {
-    // Symptom: a gateway ends, out of memory. Sequence: a faulty replica answers the call for a place with bytes that don't stop. Cause:
-    // the answer was gathered whole, however long.
+    // Guards against a gateway that runs out of memory over an endless answer of a faulty replica.
     std::size_t kept = 0;
     auto handlers = gather([&kept](const GatheredAnswer& answer) { kept = answer.body.size(); }, {});
     for (int i = 0; i < 1000; ++i)
@@ -111,8 +109,7 @@
 
 TEST_CASE("an address whose links end at once is dialled less and less often")
 {
-    // Symptom: two processes of different releases link and part twenty times a second, for ever. Sequence: one refuses the other's
-    // first message and closes. Cause: a link that came up counted as a success, however short it was.
+    // Guards against two processes of different releases that connect and disconnect twenty times a second forever.
     DialBackoff backoff;
     CHECK(backoff.ceiling() == 50ms);
     for (int i = 0; i < 10; ++i)
@@ -176,6 +173,12 @@
     CHECK(names(QuotaTotals { { { AccountId(7), INFINITY, 0, 0, true } } }, "totals"));
     CHECK(names(QuotaTotals { { { AccountId(7), 0, -1, 0, true } } }, "totals"));
     CHECK(names(QuotaTotals { { { AccountId(7), 0, 0, -1, true } } }, "totals"));
+    CHECK(!faultOf(Message(ReplicaRateLimits { { { "i-1", {}, 1.5, 1 }, { "i-1", {}, {}, 2 } } })));
+    CHECK(names(ReplicaRateLimits { { { "i-1", {}, -1.0, 1 } } }, "perSecond"));
+    CHECK(names(ReplicaRateLimits { { { "i-1", {}, NAN, 1 } } }, "perSecond"));
+    CHECK(names(ReplicaRateLimits { { { "a b", {}, 1.0, 1 } } }, "id"));
+    CHECK(names(ReplicaUsageReport { { { { AccountId(7), INFINITY, 0, false, 0 } }, true, false, {} } }, "uses"));
+    CHECK(names(ReplicaUsageTotals { { { { AccountId(7), INFINITY, 0, 0, true } }, true, {} } }, "totals"));
     CHECK(names(ControllerRoster { { "nowhere" } }, "addresses"));
     CHECK(readable("a\n\xff" + std::string(100, 'x'), 10) == "a??xxxx...");
 }
--- a/test/failure/QuotaTortureTest.cpp
+++ b/test/failure/QuotaTortureTest.cpp
@@ -1,5 +1,6 @@
 /** \file
- * Injects overlapping failures while an account requests far more than its limit: quota-torture-test SEED SCHEDULES.
+ * Injects overlapping failures while an account, or the callers of a replica with a request rate limit, request far more than the limit:
+ * quota-torture-test SEED SCHEDULES [replica].
  *
  * Guards against gateways that together admit more than the limit's rule allows in some window.
  */
@@ -17,11 +18,12 @@
 /// A random schedule of a dozen failures within half a minute, determined by its seed.
 class Schedule {
 public:
-    explicit Schedule(std::uint32_t seed)
+    Schedule(std::uint32_t seed, const Limit& limit)
         : m_random(seed)
+        , m_perSecond(limit.rule.perSecond)
         , m_gateways(draw(2, 20))
         , m_controllers(draw(1, 6))
-        , m_fleet(static_cast<int>(m_gateways), static_cast<int>(m_controllers))
+        , m_fleet(static_cast<int>(m_gateways), static_cast<int>(m_controllers), limit)
     {
     }
 
@@ -32,7 +34,7 @@
         for (int i = 0; i < 12; ++i) {
             injectFailure();
             auto load = draw(1, 7);
-            m_fleet.load(rule.perSecond * static_cast<double>(load), draw(1, 30) * 100ms);
+            m_fleet.load(m_perSecond * static_cast<double>(load), draw(1, 30) * 100ms);
         }
         return m_fleet.maxInWindow() / m_fleet.bound();
     }
@@ -58,6 +60,7 @@
     }
 
     std::mt19937 m_random;
+    double m_perSecond;
     std::size_t m_gateways;
     std::size_t m_controllers;
     Fleet m_fleet;
@@ -69,10 +72,13 @@
 {
     auto seed = argc > 1 ? static_cast<std::uint32_t>(std::stoul(argv[1])) : 1;
     auto schedules = argc > 2 ? std::stoul(argv[2]) : 300;
+    bool isReplica = argc > 3 && std::string(argv[3]) == "replica";
     std::size_t exceeded = 0;
     double highest = 0;
     for (std::uint32_t i = 0; i < schedules; ++i) {
-        auto fraction = Schedule(seed * 1'000'003 + i).run();
+        // From a quarter of a request a second to 16.
+        auto limit = isReplica ? replicaLimit(0.25 * (1 << i % 7)) : accountLimit;
+        auto fraction = Schedule(seed * 1'000'003 + i, limit).run();
         exceeded += fraction > 1;
         highest = std::max(highest, fraction);
     }
--- a/test/failure/StatedLimitTest.cpp
+++ b/test/failure/StatedLimitTest.cpp
@@ -17,7 +17,7 @@
 constexpr int gateways = 3;
 constexpr double limit = 2;
 
-/// Callers at each gateway that send one request after the other until this is destroyed.
+/// Several callers at each gateway that send one request after the other until this is destroyed.
 class Callers {
 public:
     Callers(const Cluster& cluster, std::string method, std::string path, std::string body)
@@ -25,8 +25,8 @@
         , m_path(std::move(path))
         , m_body(std::move(body))
     {
-        for (int i = 1; i <= gateways; ++i)
-            m_threads.emplace_back([this, &cluster, i] { callUntilStopped(cluster, i); });
+        for (int i = 0; i < gateways * callersPerGateway; ++i)
+            m_threads.emplace_back([this, &cluster, i] { callUntilStopped(cluster, 1 + i % gateways); });
     }
     ~Callers()
     {
@@ -40,6 +40,7 @@
     std::atomic<int> failed = 0;
 
 private:
+    static constexpr int callersPerGateway = 5;
     static constexpr auto pause = 20ms;
 
     void callUntilStopped(const Cluster& cluster, int gateway)
--- a/test/fuzz/FuzzTest.cpp
+++ b/test/fuzz/FuzzTest.cpp
@@ -264,7 +264,10 @@
         RegistryList { { { a, 1s } }, { { "i-1", UpstreamKind::Prefill, 6s } }, { { "i-2" } } },
         CrashReport { { { RequestFingerprint(7), "i-1", {}, 1s, 1s } }, { { RequestFingerprint(8), 1s } } },
         QuotaReport { { { AccountId(7), 3300, 47000, true } }, true, true },
-        QuotaTotals { { { AccountId(7), 3300, 5000, 0, true } }, true } };
+        QuotaTotals { { { AccountId(7), 3300, 5000, 0, true } }, true },
+        ReplicaRateLimits { { { "i-1", {}, 1.5, 1 }, { "i-2", {}, {}, 2 } } },
+        ReplicaUsageReport { { { { AccountId(7), 1, 1.5, true } }, true, true } },
+        ReplicaUsageTotals { { { { AccountId(7), 1, 1, 0, true } }, true } } };
     std::vector<std::string> bytes;
     for (const auto& sample : list)
         bytes.push_back(encode(sample));
--- a/test/support/QuotaFleet.h
+++ b/test/support/QuotaFleet.h
@@ -18,11 +18,27 @@
 inline constexpr QuotaSettings tolerance { 8s, 0.1, 190'000 };
 inline const QuotaRule rule { QuotaRule::Unit::Tokens, 47'000, 47'000, 200 };
 
-/// Simulates gateways and controllers with one account, in time steps.
+/// What is limited.
+struct Limit {
+    QuotaRule rule;
+    QuotaSettings tolerance;
+    double amount = 0; ///< Of each request.
+};
+inline const Limit accountLimit { rule, tolerance, 3300 };
+
+/// A limit as a replica states it: requests per second.
+inline Limit replicaLimit(double perSecond)
+{
+    QuotaSettings settings { 4s, 0.5, 5, 400ms };
+    return { { QuotaRule::Unit::Requests, perSecond, 2 * perSecond * toSeconds(settings.smoothing), 0 }, settings, 1 };
+}
+
+/// Simulates gateways and controllers with one limit, in time steps.
 class Fleet {
 public:
-    explicit Fleet(int gateways, int controllers = 3)
-        : m_controllers(controllers)
+    explicit Fleet(int gateways, int controllers = 3, Limit limit = accountLimit)
+        : m_limit(std::move(limit))
+        , m_controllers(controllers)
         , m_isUnreachable(controllers)
     {
         for (int i = 0; i < gateways; ++i) {
@@ -35,12 +51,16 @@
     Instant now = start;
 
     /// Sends one request to a gateway. \returns whether it was admitted; true without a request if the gateway is frozen.
-    bool request(std::size_t gateway, double amount = 3300)
+    bool request(std::size_t gateway) { return request(gateway, m_limit.amount); }
+    bool request(std::size_t gateway, double amount)
     {
         auto& one = m_gateways[gateway];
         if (one.isFrozen)
             return true;
-        m_lastVerdict = one.quotas->admit("desk", amount, now);
+        if (m_limit.tolerance.smoothing > Duration::zero())
+            m_lastVerdict = { one.quotas->tryAdmit("desk", amount, now), {} };
+        else
+            m_lastVerdict = one.quotas->admit("desk", amount, now);
         if (m_lastVerdict.isAdmitted)
             m_runs.emplace_back(now, amount);
         else
@@ -54,12 +74,12 @@
             exchange();
     }
 
-    /// Sends requests at a rate of `perSecond` tokens to the gateways that `pick` chooses.
+    /// Sends requests at a rate of `perSecond`, in the unit of the limit, to the gateways that `pick` chooses.
     void load(double perSecond, Duration time, const std::function<std::size_t(std::mt19937&)>& pick)
     {
         for (auto end = now + time; now < end; now += step) {
             m_dueAmount += perSecond * toSeconds(step);
-            for (; m_dueAmount >= 3300; m_dueAmount -= 3300)
+            for (; m_dueAmount >= m_limit.amount; m_dueAmount -= m_limit.amount)
                 request(pick(m_random));
             exchange();
         }
@@ -100,7 +120,7 @@
     {
         for (auto& gateway : m_gateways)
             gateway.quotas->setRules({ { "desk", changed } }, now);
-        m_rule = changed;
+        m_limit.rule = changed;
     }
 
     /// The largest amount that was admitted in any window.
@@ -111,7 +131,7 @@
         auto from = m_runs.begin();
         for (const auto& [at, amount] : m_runs) {
             sum += amount;
-            for (; at - from->first > tolerance.window; ++from)
+            for (; at - from->first > m_limit.tolerance.window; ++from)
                 sum -= from->second;
             maximum = std::max(maximum, sum);
         }
@@ -119,7 +139,10 @@
     }
     [[nodiscard]] double bound() const
     {
-        return (m_rule.perSecond * toSeconds(tolerance.window) + m_rule.burst) * (1 + tolerance.excess) + tolerance.slack;
+        const auto& [quota, settings, amount] = m_limit;
+        // A replica states no burst; what its bucket holds is this project's choice.
+        auto burst = settings.smoothing > Duration::zero() ? 0 : quota.burst;
+        return (quota.perSecond * toSeconds(settings.window) + burst) * (1 + settings.excess) + settings.slack;
     }
     [[nodiscard]] double admittedSince(Instant from) const
     {
@@ -144,8 +167,8 @@
     void startGateway(Gateway& gateway, int i)
     {
         gateway.id = PeerId(++m_lastId);
-        gateway.quotas = std::make_unique<AccountQuotas>(tolerance, "gateway-" + std::to_string(i));
-        gateway.quotas->setRules({ { "desk", m_rule } }, now);
+        gateway.quotas = std::make_unique<AccountQuotas>(m_limit.tolerance, "gateway-" + std::to_string(i), m_lastId);
+        gateway.quotas->setRules({ { "desk", m_limit.rule } }, now);
         gateway.connected.assign(m_controllers.size(), false);
     }
 
@@ -209,7 +232,7 @@
         }
     }
 
-    QuotaRule m_rule = rule;
+    Limit m_limit;
     std::deque<Gateway> m_gateways;
     std::vector<QuotaAggregator> m_controllers;
     std::vector<std::vector<bool>> m_isUnreachable; ///< By controller and gateway; empty if the controller is not partitioned.
