Give the two HttpRequest types names of their own

src/connection defined wrenhinge::HttpRequest twice with different members (CallerProtocol.h, HttpServer.h), so the linker kept one destructor for both. The comments of these files are reworded.

--- a/src/connection/CallerProtocol.cpp
+++ b/src/connection/CallerProtocol.cpp
@@ -15,7 +15,7 @@
     constexpr std::string_view chatPath = "/v1/chat/completions";
     constexpr std::string_view completionPath = "/v1/completions";
     constexpr std::string_view servicePrefix = "/services/";
-    constexpr std::size_t charactersPerToken = 4; // A rule of thumb for planning; the engine counts for itself.
+    constexpr std::size_t charactersPerToken = 4; // An estimate for planning; the engine counts the tokens.
     constexpr std::size_t charactersPerBlock = PrefixIndex::tokensPerBlock * charactersPerToken;
     constexpr std::size_t blocksHashed = 512;
     constexpr std::uint32_t defaultMaxTokens = 256;
@@ -41,7 +41,7 @@
         return true;
     }
 
-    /// The prompt's text in the order in which the engine reads it. Parts that are no text (images) count by their JSON.
+    /// Appends the text of the prompt in the order in which the engine reads it. Other parts (images) are appended as JSON.
     void appendText(std::string& text, const Json& value)
     {
         if (value.is_string()) {
@@ -150,7 +150,7 @@
     return {};
 }
 
-Result<CallerRequest> readCallerRequest(HttpRequest http, const std::string& account)
+Result<CallerRequest> readCallerRequest(CallerHttpRequest http, const std::string& account)
 {
     CallerRequest caller;
     caller.account = account;
--- a/src/connection/CallerProtocol.h
+++ b/src/connection/CallerProtocol.h
@@ -1,5 +1,5 @@
 /** \file
- * What callers' HTTP requests mean, and what errors look like to them. Pure functions; CallerServer does the I/O.
+ * Parses callers' HTTP requests and formats errors for them. Pure functions; CallerServer does the I/O.
  */
 #pragma once
 
@@ -9,8 +9,8 @@
 
 namespace wrenhinge {
 
-/// An HTTP request as it came off the wire.
-struct HttpRequest {
+/// A caller's HTTP request as received.
+struct CallerHttpRequest {
     std::string method;
     std::string target;
     HeaderList headers;
@@ -19,14 +19,14 @@
 
 /// Reads `POST /v1/chat/completions`, `POST /v1/completions` or `ANY /services/<service>/<path>`.
 ///
-/// Headers: `Idempotency-Key` names the request, `Wrenhinge-Priority: urgent` asks for urgency.
-Result<CallerRequest> readCallerRequest(HttpRequest, const std::string& account);
+/// Headers: `Idempotency-Key` identifies the request, `Wrenhinge-Priority: urgent` requests urgent service.
+Result<CallerRequest> readCallerRequest(CallerHttpRequest, const std::string& account);
 
 /// The JSON body of an error.
 std::string errorBody(const Error&, const RequestId&);
 /// `Retry-After` in whole seconds, at least one.
 std::string retryAfterSeconds(Duration);
-/// An error as the last event of a stream whose head was sent.
+/// An error as the last event of a stream that has begun.
 std::string errorEvent(const Error&, const RequestId&);
 
 /// The first value of a header, compared without case, or empty.
--- a/src/connection/CallerServer.cpp
+++ b/src/connection/CallerServer.cpp
@@ -14,7 +14,7 @@
     namespace beast = boost::beast;
     namespace http = boost::beast::http;
 
-    /// Bytes of pipelined requests that are taken in while one is in progress.
+    /// Pipelined bytes that are buffered while a request is in progress.
     constexpr std::size_t pipelineLimit = 65536;
     constexpr std::size_t watchBytes = 4096;
 
@@ -37,7 +37,7 @@
 
 } // namespace
 
-/// One caller's connection. Everything but the constructor runs on its strand.
+/// One caller's connection. All functions except the constructor run on its strand.
 class CallerServer::Connection : public std::enable_shared_from_this<CallerServer::Connection> {
 public:
     Connection(CallerServer& server, Tcp::socket socket)
@@ -132,8 +132,8 @@
         writeEnd();
     }
 
-    /// The head said 200 and bytes are out: a stream gets the error as its last event; the connection closes without the
-    /// proper end, so that nobody takes the answer for whole.
+    /// Ends an answer of which a part was sent. A stream gets the error as its last event. The connection is closed without the end of the
+    /// body, so that the answer doesn't look complete.
     void writeBreak(const Error& error)
     {
         if (m_isChunked)
@@ -186,7 +186,7 @@
         if (!account)
             return writeError(
                 { ResultCode::UnknownAccount, "the bearer token is missing or wrong; send `Authorization: Bearer <account>.<secret>`" });
-        HttpRequest request { std::string(head.method_string()), std::string(head.target()), {}, std::move(m_parser->get().body()) };
+        CallerHttpRequest request { std::string(head.method_string()), std::string(head.target()), {}, std::move(m_parser->get().body()) };
         for (const auto& field : head)
             request.headers.emplace_back(field.name_string(), field.value());
         auto caller = readCallerRequest(std::move(request), *account);
@@ -199,7 +199,7 @@
         m_server.m_handlers.onSubmit(m_request, std::move(caller.value()));
     }
 
-    /// Reads on while the request is in progress, to see the caller leave; what comes is the next pipelined request.
+    /// Reads while the request is in progress, to notice a disconnect. Received bytes belong to the next pipelined request.
     void watch()
     {
         if (m_buffer.size() >= pipelineLimit)
@@ -265,7 +265,7 @@
         if (!m_keepAlive)
             return close();
         if (m_isWatching) {
-            // Its handler comes back here.
+            // The handler of the pending read calls this function again.
             m_socket.cancel();
             return;
         }
@@ -281,10 +281,10 @@
     {
         if (m_isIdle && !m_parser->got_some())
             return close();
-        // What the pending read still brings is not handed over: this answer promises that the request has not run.
+        // What the pending read still receives is discarded, since this answer means that the request has not run.
         m_hasTimedOut = true;
         m_keepAlive = false;
-        Error error { ResultCode::RequestTimeout, "the request did not come whole in time; send it again" };
+        Error error { ResultCode::RequestTimeout, "the request was not received completely in time; send it again" };
         auto body = errorBody(error, {});
         auto text = statusLine(httpStatusOf(error.code))
             + "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body;
@@ -305,7 +305,7 @@
 
     CallerServer& m_server;
     Tcp::socket m_socket;
-    Timer m_timer; ///< Limits the reading of a request and the wait for one.
+    Timer m_timer; ///< Limits the time to receive a request, and the idle time.
     beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser;
     RequestId m_request;
@@ -319,7 +319,7 @@
     bool m_isWriting = false;
     bool m_isIdle = false;
     bool m_isClosed = false;
-    bool m_hasTimedOut = false; ///< Its request is being refused for want of time.
+    bool m_hasTimedOut = false; ///< The request is being refused because it was not received in time.
     bool m_isCounted = false; ///< Among the server's unfinished requests.
 };
 
--- a/test/correctness/ProtocolTest.cpp
+++ b/test/correctness/ProtocolTest.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-HttpRequest post(const std::string& target, const std::string& body, HeaderList headers = {})
+CallerHttpRequest post(const std::string& target, const std::string& body, HeaderList headers = {})
 {
     return { "POST", target, std::move(headers), body };
 }
@@ -52,7 +52,7 @@
 
 TEST_CASE("a few bytes that claim a huge value are refused without reserving memory for it")
 {
-    // Symptom: a process ends, out of memory, over one message. Sequence: five bytes announce an array of 2^32 - 1 elements.
+    // Guards against a process that runs out of memory over a message with a false length.
     for (unsigned char type : { 0xdd, 0xdf, 0xdb, 0xc6, 0xc9 }) {
         std::string bytes(1, static_cast<char>(type));
         bytes += "\xff\xff\xff\xff";
@@ -64,8 +64,7 @@
 
 TEST_CASE("a value that an enumeration doesn't have is refused, not carried on")
 {
-    // Symptom: a process ends, "a result code without a row in the code table". Sequence: a process of a later release answers with
-    // a code of its own. Cause: numbers were cast to enumerations unseen.
+    // Guards against a process that crashes over an unknown result code.
     ProposeReply reply;
     reply.code = static_cast<ResultCode>(9999);
     CHECK(!decode(encode(reply)));
