--- a/src/connection/AccountBook.h
+++ b/src/connection/AccountBook.h
@@ -1,8 +1,8 @@
 /** \file
  * The bearer tokens of client accounts, kept as salted hashes.
  *
- * A token is `<account>.<secret>`, so that one of 14,000 accounts is found by name and only one hash is computed. The
- * accounts file is YAML: a list `accounts` of `name`, `salt` (any text) and `sha256` (of salt and secret, in hex).
+ * A token is `<account>.<secret>`, so that the account is found by name and only one hash is computed. The accounts file is YAML: a list
+ * `accounts` of `name`, `salt` (any text) and `sha256` (of salt and secret, in hex).
  */
 #pragma once
 
@@ -19,12 +19,12 @@
 public:
     static constexpr std::string_view anonymous = "anonymous";
 
-    /// A book that lets everyone in as `anonymous`.
+    /// Identifies every caller as `anonymous`.
     AccountBook() = default;
     static Result<AccountBook> read(const std::string& file);
     static Result<AccountBook> parse(const std::string& text, const std::string& file);
 
-    /// The account of an `Authorization` header's value, if the token is right.
+    /// \returns the account of an `Authorization` header's value, or nothing if the token is invalid.
     [[nodiscard]] std::optional<std::string> identify(std::string_view authorization) const;
 
 private:
@@ -36,7 +36,7 @@
     std::unordered_map<std::string, Account> m_accounts;
 };
 
-/// The hash that an accounts file holds for a secret.
+/// The hash of a secret, as in an accounts file.
 std::string hashSecret(const std::string& salt, const std::string& secret);
 
 } // namespace wrenhinge
--- a/src/connection/CallerServer.h
+++ b/src/connection/CallerServer.h
@@ -1,9 +1,8 @@
 /** \file
- * Callers' HTTP/1.1 connections (Boost.Beast): reads requests, hands each to the gateway's logic, writes its answer.
+ * Callers' HTTP/1.1 connections (Boost.Beast): reads requests, passes each to the gateway's logic, writes its answer.
  *
- * One request of a connection is in progress at a time, so pipelined ones are answered in order. While one is in
- * progress the connection is watched: a caller that closes, also only its sending half, has gone, and everything that its
- * request holds is released.
+ * One request of a connection is in progress at a time, so pipelined requests are answered in order. Meanwhile the connection is read: a
+ * caller that closes it, or only its sending side, has disconnected, and everything that its request holds is released.
  */
 #pragma once
 
--- a/src/connection/CallerSettings.h
+++ b/src/connection/CallerSettings.h
@@ -1,5 +1,5 @@
 /** \file
- * What a gateway's settings say about its callers: where they connect, and what they may send.
+ * The settings of a gateway for its callers: where they connect, and limits on their requests.
  */
 #pragma once
 
@@ -12,8 +12,8 @@
 
 struct CallerSettings {
     std::string listen;
-    std::string ready; ///< A gateway without sidecars tells its balancer here whether it takes callers.
-    std::string accountsFile; ///< Empty: no tokens are asked for; the account is `anonymous`.
+    std::string ready; ///< Address of the readiness check for load balancers, at gateways without sidecars.
+    std::string accountsFile; ///< Empty: no tokens are required, and the account is `anonymous`.
     std::size_t headerLimit = 16384;
     std::size_t bodyLimit = 8000000;
     Duration headerTime = 10s;
--- a/src/connection/Endpoint.h
+++ b/src/connection/Endpoint.h
@@ -1,5 +1,5 @@
 /** \file
- * Addresses as operators write them, and listening on one.
+ * Parses addresses, and listens on them.
  */
 #pragma once
 
@@ -11,13 +11,13 @@
 
 namespace wrenhinge {
 
-/// Splits "127.0.0.1:80" into an endpoint. The error is the user's: it names what is wrong.
+/// Parses an address such as "127.0.0.1:80". The error tells the user what is wrong.
 Result<Tcp::endpoint> parseEndpoint(const std::string& address);
 
 /// The same host with another port; zero leaves the address as it is.
 std::string withPort(const std::string& address, std::uint32_t port);
 
-/// Binds and listens; port 0 takes any. \returns the bound address.
+/// Binds and listens; port 0 binds any free port. \returns the bound address.
 Result<std::string> listenOn(Tcp::acceptor&, const std::string& address);
 
 } // namespace wrenhinge
--- a/src/connection/EngineProtocol.cpp
+++ b/src/connection/EngineProtocol.cpp
@@ -9,7 +9,7 @@
 
     using Json = nlohmann::json;
 
-    constexpr std::string_view eventMark = "data: {"; // `data: [DONE]` is no token.
+    constexpr std::string_view eventMark = "data: {"; // Doesn't match `data: [DONE]`.
     constexpr std::string_view usageMark = "\"completion_tokens\":";
     constexpr std::size_t longestNumber = 12;
 
@@ -80,7 +80,7 @@
         ++n;
         at = found + eventMark.size();
     }
-    // Keep what may be the beginning of a mark, but never one that was counted.
+    // Keep what may be the beginning of a mark, without those that were counted.
     auto keepFrom = std::max(at, text.size() > eventMark.size() - 1 ? text.size() - (eventMark.size() - 1) : 0);
     m_tail = text.substr(std::min(keepFrom, text.size()));
     return n;
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -15,16 +15,17 @@
 
     namespace http = boost::beast::http;
 
-    /// Pipelined bytes that are taken in while a request is in progress.
+    /// Pipelined bytes that are buffered while a request is in progress.
     constexpr std::size_t readAheadLimit = 64 * 1024;
-    /// How long a closed connection is still read, so that the last answer isn't lost to a reset.
+    /// How long a connection is still read after its sending side was closed. Closing it with unread bytes would reset it, and the
+    /// last answer could be lost.
     constexpr Duration lingerTime = 1s;
     constexpr int callerSilenceMs = 10000;
     constexpr Duration acceptAgainAfter = 50ms;
 
     using RequestParser = http::request_parser<http::string_body>;
 
-    /// Why a request's framing can't be trusted, or nothing.
+    /// \returns why the framing of a request is ambiguous, or nothing.
     std::optional<std::string> framingFault(const http::request<http::string_body>& request)
     {
         if (request.count(http::field::host) != 1 && request.version() >= 11)
@@ -65,7 +66,7 @@
     }
 
     [[nodiscard]] bool isBusy() const { return m_state == State::Reading || m_state == State::Answering || m_isWriting; }
-    /// Whether nothing is in progress and nothing has come that is yet to be read: closing it now loses no request.
+    /// Whether no request is in progress and no bytes wait to be read, so that closing the connection loses no request.
     [[nodiscard]] bool isIdle() { return m_state == State::Idle && !m_isWriting && isQuiet(m_socket); }
 
     void reply(int status, const HeaderList& headers, std::string body) override
@@ -125,7 +126,7 @@
         close();
     }
 
-    /// Ends the sending side first, so that the caller sees a clean end and not a reset.
+    /// Closes the sending side first, so that the caller sees an end of file and not a reset.
     void closeGently()
     {
         if (m_state == State::Closed || m_state == State::Lingering)
@@ -141,9 +142,9 @@
     enum class State : std::uint8_t {
         Idle, ///< Between requests.
         Reading,
-        Answering, ///< A request was handed over, and its answer is not complete.
-        Ending, ///< The last answer is being written; what comes is not read as a request any more.
-        Lingering, ///< The sending side is closed.
+        Answering, ///< A request was passed to the handler, and its answer is not complete.
+        Ending, ///< The last answer is being written; received bytes are discarded.
+        Lingering, ///< The sending side is closed; received bytes are discarded.
         Closed,
     };
 
@@ -158,7 +159,7 @@
             waitForRequest();
     }
 
-    /// Counts the idle time from now on: an answer that its caller still takes is no idle time.
+    /// Starts the idle time. The time in which the caller still reads the previous answer doesn't count.
     void waitForRequest()
     {
         m_idleSince = currentInstant();
@@ -167,7 +168,7 @@
 
     void idleTimeEnded()
     {
-        // The limits may have changed meanwhile; callers go by the present ones.
+        // The limits may have changed meanwhile, and callers rely on the present ones.
         auto left = m_idleSince + m_server.m_limits.idleTime - currentInstant();
         if (left > Duration::zero() || !isQuiet(m_socket))
             return limitTime(std::max(left, Duration::zero()), &Connection::idleTimeEnded);
@@ -177,11 +178,11 @@
     void headerTimeEnded() { refuse(408, "the request's header did not come in time"); }
     void bodyTimeEnded() { refuse(408, "the request's body did not come in time"); }
 
-    /// Calls `strike` after `limit`, unless the connection gets on before. What has come by then is read first: a process that
-    /// stood still would else close on a whole request that its caller had sent in time.
-    void limitTime(Duration limit, void (Connection::*strike)())
+    /// Calls `onTimeout` after `limit`, unless the state changes before. Bytes that have arrived by then are read first: otherwise a
+    /// process that was suspended would close a connection on which a complete request had arrived in time.
+    void limitTime(Duration limit, void (Connection::*onTimeout)())
     {
-        m_timer.limit(limit, [self = shared_from_this(), strike] { (*self.*strike)(); });
+        m_timer.limit(limit, [self = shared_from_this(), onTimeout] { (*self.*onTimeout)(); });
     }
 
     void read()
@@ -240,7 +241,7 @@
         }
     }
 
-    /// The limits are those of now: a connection may have waited since before they changed.
+    /// Uses the present limits: they may have changed since the connection became idle.
     void beginRequest()
     {
         m_state = State::Reading;
@@ -279,7 +280,7 @@
         m_server.m_handler(std::move(request), shared_from_this());
     }
 
-    /// A request that can't be read: answers and closes, since nobody knows where the next one begins.
+    /// Refuses a request that can't be parsed, and closes the connection, since the start of the next request is unknown.
     void refuse(int status, const std::string& why)
     {
         m_state = State::Answering;
@@ -302,8 +303,8 @@
     void finish()
     {
         onGone = nullptr;
-        // The head of a long answer may have left before the server began to close; kept open after it, the connection would
-        // bring another request at a time when nobody can answer it any more.
+        // The head of a long answer may have been sent, without `Connection: close`, before the server began to close. If the connection
+        // stayed open, it would receive another request that can't be answered in time.
         if (!m_keepAlive || m_server.m_isClosed) {
             m_state = State::Ending;
             m_timer.cancel();
@@ -312,7 +313,7 @@
             return;
         }
         expectRequest();
-        // Answered from within parse() or by an event: the next request may already be here.
+        // The next request may already be buffered. It is parsed later, since this may be called from within parse().
         boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
             if (self->m_state == State::Idle)
                 self->parse();
@@ -359,8 +360,8 @@
         leave(State::Closed);
     }
 
-    /// The one way out, to Lingering or Closed. Whoever works on the answer hears of it: unheard, a request that was passed on would
-    /// be worked on, and even sent once more, for nobody.
+    /// Every transition to Lingering or Closed goes through here, so that the handler always learns of a disconnect. Otherwise a request
+    /// would run, and might even be sent again, although its caller has gone.
     void leave(State next)
     {
         bool wasAnswering = m_state == State::Answering;
@@ -371,7 +372,7 @@
 
     HttpServer& m_server;
     Tcp::socket m_socket;
-    Timer m_timer; ///< Of what limits the present state.
+    Timer m_timer; ///< Limits the time in the present state.
     boost::beast::flat_buffer m_input;
     std::array<char, 4096> m_chunk {};
     std::optional<RequestParser> m_parser;
@@ -413,7 +414,7 @@
     m_acceptor.async_accept(m_strand, [this](ErrorCode ec, Tcp::socket socket) {
         if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
             return;
-        // Over the limit the connection is closed unread: its caller may then try another gateway, whatever it asked.
+        // Beyond the limit the connection is closed unread, so the caller may safely try another gateway.
         if (!ec && m_connections.size() < m_limits.connections) {
             auto connection = std::make_shared<Connection>(*this, std::move(socket));
             m_connections.insert(connection);
@@ -421,7 +422,7 @@
         }
         if (!ec)
             return accept();
-        // Out of descriptors, most likely: trying again at once would only spin.
+        // The process is probably out of file descriptors, so an immediate retry would fail too.
         auto timer = std::make_shared<boost::asio::steady_timer>(m_strand, acceptAgainAfter);
         timer->async_wait([this, timer](ErrorCode) { accept(); });
     });
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -1,12 +1,12 @@
 /** \file
- * An HTTP/1.1 server that hands over whole requests and lets their answers be whole or streamed.
+ * An HTTP/1.1 server that passes complete requests to a handler; answers are sent complete or streamed.
  *
- * One request of a connection is in progress at a time, so pipelined ones are answered in order. The connection is read all
- * the while, so that a caller that leaves is noticed at once. Parsing is Beast's; on top of it a request whose framing two
- * parsers could read differently (both a length and chunks, two lengths, an unknown transfer coding, no host or two) is
- * refused, since a second request could hide in its body.
+ * One request of a connection is in progress at a time, so pipelined requests are answered in order. The connection is read during a
+ * request too, so that a caller's disconnect is noticed immediately. Beast parses the requests. In addition, a request whose framing two
+ * parsers could read differently (both a length and chunks, two lengths, an unknown transfer coding, no host or two) is refused, since
+ * its body could contain a second request (request smuggling).
  *
- * Everything runs on the strand that the server is given.
+ * Runs on the strand passed to it.
  */
 #pragma once
 
@@ -25,24 +25,24 @@
     std::string method;
     std::string target;
     std::string host;
-    HeaderList headers; ///< As sent, but for those that concern only the connection.
+    HeaderList headers; ///< Without those that concern only the connection.
     std::string body;
     Duration readFor {}; ///< From the first byte to the last.
 };
 
-/// The place of one answer. After the caller has gone its calls do nothing.
+/// The answer to one request. Once the caller has disconnected, its functions do nothing.
 class HttpAnswer {
 public:
     virtual ~HttpAnswer() = default;
-    /// Sends a whole answer.
+    /// Sends a complete answer.
     virtual void reply(int status, const HeaderList&, std::string body) = 0;
     /// Starts an answer of unknown length.
     virtual void begin(int status, const HeaderList&) = 0;
     virtual void write(std::string bytes) = 0;
     virtual void end() = 0;
-    /// Closes the connection, so that an answer that has begun doesn't look complete.
+    /// Closes the connection, so that the caller sees that the answer is incomplete.
     virtual void breakOff() = 0;
-    /// Called once if the caller leaves before the answer is complete.
+    /// Called once if the caller disconnects before the answer is complete.
     std::function<void()> onGone;
 };
 
@@ -63,9 +63,9 @@
     /// \returns the bound address.
     Result<std::string> listen(const std::string& address);
     void setLimits(const Limits&);
-    /// From now on each answer closes its connection.
+    /// Closes each connection after its next answer.
     void announceClose() { m_isClosing = true; }
-    /// Accepts no more and closes every connection that has no request in progress.
+    /// Stops accepting connections, and closes every connection that has no request in progress.
     void closeIdle();
     [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
     [[nodiscard]] std::size_t requestsInProgress() const;
@@ -80,7 +80,7 @@
     Tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Connection>> m_connections;
     bool m_isClosing = false;
-    bool m_isClosed = false; ///< No connection outlives its request in progress.
+    bool m_isClosed = false; ///< Each connection is closed when its request in progress ends.
 };
 
 } // namespace wrenhinge
--- a/src/connection/HttpText.h
+++ b/src/connection/HttpText.h
@@ -1,5 +1,5 @@
 /** \file
- * Small pieces of HTTP/1.1 that servers and clients share: writing heads, and telling headers that concern one connection.
+ * Functions for HTTP/1.1 headers that servers and clients share.
  */
 #pragma once
 
@@ -23,11 +23,11 @@
 /// Writes `name: value` lines.
 void appendHeaders(std::string& text, const HeaderList&);
 
-/// The usual words for a status.
+/// The standard reason phrase of a status.
 std::string_view reasonOf(int status);
 
-/// Sets how long unacknowledged bytes and silence of the network are borne before a connection fails. A connection that a
-/// cut has silenced is never reset by anyone; without this its user would wait for ever.
+/// Sets after how long a connection fails if the peer acknowledges neither bytes nor keep-alive probes. In a network partition a connection
+/// is never reset, so its user would otherwise wait forever.
 void failWhenSilent(int socket, int milliseconds);
 
 } // namespace wrenhinge
--- a/src/connection/JsonFields.h
+++ b/src/connection/JsonFields.h
@@ -1,9 +1,9 @@
 /** \file
- * JSON that others wrote, read strictly: each field has a type and a range, and a fault names the field, what came and what is
+ * Strict reading of JSON from other programs: each field has a type and a range, and an error names the field, its value and what is
  * expected.
  *
- * Reading a number straight into an unsigned type wraps round: -1 became the highest version of all, which no later one could
- * follow. And what is nested deeper than the stack ends the process when it is copied or written.
+ * Converting a number directly to an unsigned type would wrap around: -1 would become the highest version number, which no later version
+ * could exceed. Deeply nested values would overflow the stack when they are copied or written.
  */
 #pragma once
 
@@ -16,7 +16,7 @@
 
 using Json = nlohmann::json;
 
-/// What is wrong with a field. Caught where the library's own faults are.
+/// An invalid field. Derived from the library's exception, so that both are caught together.
 class FieldFault : public Json::exception {
 public:
     explicit FieldFault(const std::string& what)
@@ -27,11 +27,11 @@
 
 enum class DuplicateKeys : std::uint8_t { LastCounts, Refused };
 
-/// The JSON value in `text`; throws Json::exception if it isn't exactly one, or nests too deep.
-/// \param duplicates the same key twice in the outermost object: two readers may take different ones.
-/// \param take sees each value as it is read, and says whether it is kept; for LastCounts only.
+/// Parses the JSON value in `text`. Throws Json::exception if there isn't exactly one, or if it is nested too deeply.
+/// \param duplicates what to do if the outermost object has a key twice, which two parsers may read differently.
+/// \param take the parser's callback, which decides which values are kept; for LastCounts only.
 Json readJson(const std::string& text, DuplicateKeys duplicates, const Json::parser_callback_t& take = nullptr);
-/// Why reading failed, short and without the bytes that can't be shown.
+/// A short reason for a parse error, without unprintable bytes.
 std::string reasonOf(const Json::exception&);
 
 class Fields {
@@ -41,26 +41,26 @@
         std::uint64_t high = std::numeric_limits<std::uint64_t>::max();
     };
 
-    /// \param owner names the object in faults, such as "route 'x'". Both must live as long as this.
+    /// \param owner names the object in errors, such as "route 'x'". The object must outlive this.
     Fields(const Json& object, std::string owner);
 
     [[nodiscard]] bool has(const char* name) const { return m_object.contains(name); }
     [[nodiscard]] std::string text(const char* name) const;
     [[nodiscard]] std::string textOr(const char* name, const std::string& absent) const;
-    /// A text that is one of these. \returns its position.
+    /// \returns the index of the text in `words`; any other text is an error.
     [[nodiscard]] std::size_t oneOf(const char* name, const std::vector<std::string>& words) const;
-    /// Written without a fraction or exponent.
+    /// A whole number, written without a fraction or exponent.
     [[nodiscard]] std::uint64_t whole(const char* name, Whole) const;
-    /// From zero, also written as `2.0`; above `high` it counts as that.
+    /// A whole number from zero, which may be written as `2.0`. Numbers above `high` are read as `high`.
     [[nodiscard]] std::uint64_t count(const char* name, std::uint64_t high) const;
     [[nodiscard]] std::uint64_t countOr(const char* name, std::uint64_t high, std::uint64_t absent) const;
-    /// From zero.
+    /// A number from zero.
     [[nodiscard]] double number(const char* name) const;
     [[nodiscard]] double numberOr(const char* name, double absent) const;
     [[nodiscard]] bool flag(const char* name) const;
     [[nodiscard]] bool flagOr(const char* name, bool absent) const;
     [[nodiscard]] const Json& list(const char* name) const;
-    /// Throws: the field is not what is expected.
+    /// Throws the error that the field is not what is expected.
     [[noreturn]] void refuse(const char* name, const std::string& expected) const;
 
 private:
--- a/src/connection/PeerHub.cpp
+++ b/src/connection/PeerHub.cpp
@@ -8,9 +8,8 @@
 
 namespace {
 
-    /// An address without power or behind a cut answers nothing, and the system sends its opening packet again only after a second,
-    /// when the address may have been back for most of it. Several round trips between regions. Gateways that had started 0.4 s
-    /// before the controllers had their links 0.6 s after these with a limit of 1 s.
+    /// Several round trips between regions. A host that is down doesn't answer, and the system repeats the first packet only after a
+    /// second, although the host may be back sooner.
     constexpr Duration connectLimit = 250ms;
 
 } // namespace
@@ -71,8 +70,8 @@
     return it == m_hellos.end() ? std::nullopt : std::optional(it->first);
 }
 
-/// Two processes may dial each other at the same moment. Both keep the link that the one with the lower id dialled; a second
-/// link dialled by the same side replaces the first, which that side has given up.
+/// Two processes may dial each other at the same time. Both then keep the link that the process with the lower id dialled. A second link
+/// that was dialled by the same side replaces the first, which that side has closed.
 bool PeerHub::takesOver(const std::shared_ptr<PeerLink>& former, const std::shared_ptr<PeerLink>& link, PeerId peer) const
 {
     if (!former || former->side() == link->side())
@@ -127,7 +126,7 @@
 
 void PeerHub::adopt(const std::shared_ptr<PeerLink>& link, std::function<void()> onClosed)
 {
-    // The link owns its handlers, so they hold it weakly; the table holds it once its Hello has come.
+    // The link owns its handlers, so they hold it weakly. The table holds it once its Hello was received.
     auto peer = std::make_shared<PeerId>();
     auto onMessage = [this, peer, weak = std::weak_ptr(link)](HybridTime stamp, Message&& message) {
         m_handlers.stampReceive(stamp);
@@ -151,7 +150,7 @@
                 return;
             }
             if (former) {
-                // The peer gave its old link up before we noticed: for everyone above, it went and came back.
+                // The peer closed its former link and connected again before that was noticed here.
                 m_handlers.onDown(*peer);
                 former->close();
             }
--- a/src/connection/PeerHub.h
+++ b/src/connection/PeerHub.h
@@ -1,9 +1,8 @@
 /** \file
- * All links of one process: it listens, dials the addresses of the settings again and again, exchanges `Hello`, and
- * reports peers as they come and go.
+ * All links of one process: listens, dials other processes, exchanges `Hello`, and reports which peers connect and disconnect.
  *
- * A process that starts first finds nobody; a peer that restarts comes back under a new PeerId. Dialling therefore
- * never gives up; it waits a little longer after each failure, with a spread, so that the return of a zone is no surge.
+ * Dialling is repeated until it succeeds, and after each disconnect. The delay grows with each failure and is randomised, so that the
+ * processes of an availability zone that returns don't connect all at once.
  */
 #pragma once
 
@@ -31,7 +30,7 @@
         std::function<void(PeerId, Message&&)> onMessage;
         std::function<HybridTime()> stampSend;
         std::function<void(HybridTime)> stampReceive;
-        /// A peer said what can't be used; its link ends.
+        /// A peer sent something invalid, and its link is closed.
         std::function<void(const std::string& from, const std::string& what)> onFault {};
     };
 
@@ -39,18 +38,18 @@
 
     /// Listens on `address` ("127.0.0.1:0" takes any free port). \returns the bound address, or an Error.
     Result<std::string> listen(const std::string& address);
-    /// Keeps a link to `address` up until `stop`. An address that is dialled already, or that a linked peer gives as its name,
-    /// is not dialled again.
+    /// Keeps a link to `address` until `leave` or `stop`. An address that is dialled already, or that is the name of a connected peer, is
+    /// not dialled again.
     void dial(const std::string& address);
-    /// Ends that, and closes the link that was dialled there.
+    /// Stops dialling the address, and closes the link to it.
     void leave(const std::string& address);
-    /// Sends if the peer is there; else the message is lost, as on a cut network.
+    /// Sends the message if the peer is connected, otherwise drops it.
     void send(PeerId, const Message&);
-    /// Changes what later links are told of this process.
+    /// Sets the admin address that the Hello of later links contains.
     void setAdminAddress(const std::string&);
-    /// Who is linked now.
+    /// The connected peers.
     [[nodiscard]] std::vector<Hello> peers() const;
-    /// Bytes that wait in all links for their peers to read, and in the fullest one.
+    /// Unsent bytes of all links, and of the link with the most.
     struct Queued {
         std::size_t all = 0;
         std::size_t most = 0;
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -17,13 +17,13 @@
     constexpr std::size_t logicalBytes = 4;
     constexpr std::size_t prefixBytes = lengthBytes + wallBytes + logicalBytes;
     constexpr std::size_t compactAbove = 1u << 20;
-    /// Bytes that are handed to the system at a time. Without a bound all that waits is held a second time, as HTTP/2 frames, and an answer
-    /// to a PING waits behind it.
+    /// Bytes that are written at a time. Without a bound, all waiting bytes would be held a second time as HTTP/2 frames, and replies to
+    /// PINGs would be sent after them.
     constexpr std::size_t bytesPerWrite = 128 * 1024;
 
     nghttp2_nv headerField(std::string_view name, std::string_view value)
     {
-        // nghttp2 copies both unless told not to; its struct just lacks the const.
+        // nghttp2 copies both strings; its struct only lacks the const.
         return { reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
             reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), name.size(), value.size(), NGHTTP2_NV_FLAG_NONE };
     }
@@ -54,7 +54,7 @@
 
 } // namespace
 
-/// The C callbacks that nghttp2 wants, kept out of the header.
+/// The C callbacks of nghttp2.
 struct PeerLink::Callbacks {
     static ssize_t fill(
         nghttp2_session*, std::int32_t, std::uint8_t* buf, std::size_t n, std::uint32_t*, nghttp2_data_source* source, void*)
@@ -221,7 +221,7 @@
     m_lastHeard = std::chrono::steady_clock::now();
     auto taken = nghttp2_session_mem_recv(m_session, reinterpret_cast<const std::uint8_t*>(m_readBuffer.data()), n);
     if (taken < 0)
-        return refuse("bytes that are no HTTP/2");
+        return refuse("not HTTP/2");
     takeMessages();
     if (m_closed)
         return;
@@ -242,9 +242,9 @@
             break;
         auto bytes = std::string_view(m_inbox).substr(at + prefixBytes, n);
         auto message = decode(bytes);
-        auto fault = message ? faultOf(*message) : "fields of other types, or a type that is not known here";
+        auto fault = message ? faultOf(*message) : "unknown message type, or a field of an unexpected type";
         if (!fault && !m_isIntroduced && !std::holds_alternative<Hello>(*message))
-            fault = "it comes before a Hello";
+            fault = "received before a Hello";
         if (fault)
             return refuse(describe(bytes) + ": " + *fault);
         m_isIntroduced = true;
@@ -262,8 +262,8 @@
         if (ec || self->m_closed)
             return;
         auto silence = std::chrono::steady_clock::now() - self->m_lastHeard;
-        // What has come and is not read yet is no silence of the peer's: this process stood still. Closed all the same, the links of a
-        // controller that had parsed a large document would be dialled again by all at once.
+        // Bytes that have arrived and are not read yet mean that this process was busy, not that the peer is silent. If such links were
+        // closed, all processes would reconnect at once to a controller that has parsed a large document.
         if (silence > silenceLimit && isQuiet(self->m_socket))
             return self->fail();
         if (silence > pingAfter) {
@@ -274,8 +274,8 @@
     });
 }
 
-/// A peer of another release, or one that is no peer. Only this link ends: what else it would say can't be trusted to mean what we
-/// think, and skipping one message would leave its sender believing that it was heard.
+/// Closes the link to a peer of another release, or to something else than a peer. Skipping only the invalid message would leave the peer
+/// in the belief that it was received.
 void PeerLink::refuse(const std::string& what)
 {
     ErrorCode ec;
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -5,8 +5,8 @@
  * HTTP/2 gives framing, flow control and PING; nghttp2 runs in memory over an Asio socket. All calls and callbacks
  * happen on the link's strand, except `send` and `close`, which may come from any thread.
  *
- * A network cut that drops packets closes nothing. A link therefore pings while it is silent, and reports itself
- * closed when nothing has been heard for `silenceLimit`; otherwise a gateway would wait for ever for an answer.
+ * A network partition that drops packets closes no connection. A link therefore sends PINGs while nothing is received, and closes itself
+ * when nothing was received for `silenceLimit`; otherwise a gateway would wait forever for an answer.
  */
 #pragma once
 
@@ -27,26 +27,26 @@
 public:
     enum class Side : std::uint8_t { Dialled, Accepted };
 
-    /// What the owner of a link hears. `onClosed` comes exactly once, after `onFault` if what came can't be used.
+    /// Callbacks to the owner of a link. `onClosed` is called exactly once, after `onFault` if the peer sent something invalid.
     struct Handlers {
         std::function<void(HybridTime, Message&&)> onMessage;
         std::function<void()> onClosed;
         std::function<void(const std::string& from, const std::string& what)> onFault {};
     };
 
-    /// After this long without a byte from the peer the link asks with a PING.
+    /// A PING is sent when nothing was received for this long.
     static constexpr Duration pingAfter = 400ms;
-    /// After this long without a byte the peer counts as gone.
+    /// The link is closed when nothing was received for this long.
     static constexpr Duration silenceLimit = 1500ms;
-    /// A peer that leaves this much unread is slower than what it is told, or does not read; its link is given up, and what it must know
-    /// is told anew over the next one. The largest messages are parts of 64 KB and entries of the log of up to a megabyte.
+    /// Bytes that may wait for a slow peer. Beyond that the link is closed, and the peer gets the present state on its next link. The
+    /// largest messages are document parts of 64 KB and log entries of up to a megabyte.
     static constexpr std::size_t queueLimit = 8u << 20;
-    /// What is read at a time. Most messages are some hundred bytes; a part of 64 KB of a document takes 16 reads, a few times a day. With
-    /// 64 KB a link takes 80 KB of memory at either end instead of 20, nearly all unused: 2.8 MB more at a gateway with 46 links.
+    /// Size of the read buffer. Most messages have a few hundred bytes. With 64 KB a link would take 80 KB of memory at either end instead
+    /// of 20 KB: 2.8 MB more at a gateway with 46 links.
     static constexpr std::size_t bytesPerRead = 4096;
     /// A longer message is a protocol error.
     static constexpr std::size_t messageLimit = 64u << 20;
-    /// The first message, a Hello, is some hundred bytes. Whoever has not said who it is may not fill our memory.
+    /// The first message, a Hello, has a few hundred bytes. A peer that has not identified itself must not fill the memory.
     static constexpr std::size_t firstMessageLimit = 64u << 10;
 
     static std::shared_ptr<PeerLink> make(Tcp::socket, Side);
@@ -56,12 +56,12 @@
     PeerLink& operator=(const PeerLink&) = delete;
 
     void start(Handlers);
-    /// Any thread. \param stamp travels with the message, for the time line. \returns how many bytes the message takes.
+    /// Thread-safe. \param stamp is sent with the message, for the time line. \returns the size of the message in bytes.
     std::size_t send(const Message&, HybridTime stamp);
     [[nodiscard]] Side side() const { return m_side; }
-    /// Bytes that were sent and that the system has not taken yet. Any thread.
+    /// Bytes that were not passed to the operating system yet. Thread-safe.
     [[nodiscard]] std::size_t queuedBytes() const { return m_queuedBytes; }
-    /// Closes after what was sent before has left.
+    /// Closes the link after all earlier messages were sent.
     void close();
 
 private:
@@ -90,7 +90,7 @@
     std::array<char, bytesPerRead> m_readBuffer {};
     boost::asio::steady_timer m_silenceTimer;
     std::chrono::steady_clock::time_point m_lastHeard;
-    bool m_isIntroduced = false; ///< A Hello has come.
+    bool m_isIntroduced = false; ///< A Hello was received.
     bool m_writing = false;
     bool m_closed = false;
     bool m_closing = false;
--- a/src/connection/Timer.h
+++ b/src/connection/Timer.h
@@ -1,12 +1,12 @@
 /** \file
- * A timer whose wait is never reported once it has been cancelled or replaced.
+ * A timer whose handler never runs once its wait was cancelled or replaced.
  *
- * Asio's timer takes back only a wait that has not ended. One that has ended, but whose handler has not run yet, is reported as if
- * nothing had happened. A process that shares its core or parses a large document stands still for tens to hundreds of
- * milliseconds; what came meanwhile and the limit that it met are then handled one after the other, and the limit strikes though
- * what it waited for is there. One would notice connections that are closed at the moment at which their request is passed on.
+ * Cancelling Asio's timer has no effect on a wait that has ended but whose handler has not run yet. A process that shares its core or
+ * parses a large document may not run for hundreds of milliseconds. Received bytes and an expired timeout are then handled one after the
+ * other, and the timeout would take effect although the bytes that it waited for have arrived: connections would be closed at the moment
+ * at which their request is passed on.
  *
- * Belongs to one strand: every call, and the report, is made on it.
+ * Belongs to one strand: all functions are called on it, and handlers run on it.
  */
 #pragma once
 
@@ -19,9 +19,9 @@
 
 class Timer {
 public:
-    /// After a time limit has ended, what has come by then is read for this long before it strikes. It needs one turn of the loop, and
-    /// was late only because this process stood still.
-    static constexpr Duration lastLook = 10ms;
+    /// Delay between the end of a time limit and its handler, in which bytes that have arrived are read. One turn of the event loop is
+    /// enough.
+    static constexpr Duration finalReadTime = 10ms;
 
     /// \param executor the strand on which waits are reported.
     explicit Timer(const boost::asio::any_io_executor& executor)
@@ -43,10 +43,10 @@
         });
     }
 
-    /// Like `start`, for a limit on what a peer sends: calls `f` only after what has come by the limit could be read.
+    /// Like `start`, for a limit on the time until a peer sends something: bytes that have arrived by then are read before `f` is called.
     template <typename F> void limit(Duration delay, F f)
     {
-        start(delay, [this, f = std::move(f)]() mutable { start(lastLook, std::move(f)); });
+        start(delay, [this, f = std::move(f)]() mutable { start(finalReadTime, std::move(f)); });
     }
 
     void cancel()
@@ -57,7 +57,7 @@
 
 private:
     boost::asio::steady_timer m_timer;
-    std::shared_ptr<std::uint64_t> m_currentWait = std::make_shared<std::uint64_t>(0); ///< Shared, as a report may outlive the timer.
+    std::shared_ptr<std::uint64_t> m_currentWait = std::make_shared<std::uint64_t>(0); ///< Shared, as a handler may outlive the timer.
 };
 
 } // namespace wrenhinge
--- a/src/connection/UpstreamClient.cpp
+++ b/src/connection/UpstreamClient.cpp
@@ -94,7 +94,7 @@
     void write()
     {
         http::async_write(m_socket, m_request, [self = shared_from_this()](ErrorCode ec, std::size_t) {
-            // Some bytes may have arrived even if not all of them left.
+            // Some bytes may have arrived although the write failed.
             if (ec)
                 return self->breakOff();
             self->m_request.body().clear();
@@ -185,7 +185,7 @@
         finish(sidecar::CallFailed { m_call.id, mayHaveRun, code });
     }
 
-    /// The connection ended before the answer did.
+    /// The connection ended before the answer was complete.
     void breakOff() { finish(sidecar::CallFailed { m_call.id, true, ResultCode::UpstreamFailed, true }); }
 
     void finish(sidecar::Event event)
@@ -232,7 +232,7 @@
         std::erase_if(m_exchanges, [](const auto& item) { return item.second.expired(); });
         m_exchanges[id] = exchange;
     }
-    // Not here: the caller holds the lock of the logic that the report takes.
+    // Posted, since the caller holds the lock of the logic that the report acquires.
     boost::asio::post(m_io, [exchange, endpoint = m_endpoint] { exchange->run(endpoint); });
 }
 
--- a/src/connection/UpstreamClient.h
+++ b/src/connection/UpstreamClient.h
@@ -1,8 +1,8 @@
 /** \file
- * Makes a sidecar's calls to its upstream over HTTP/1.1 (Boost.Beast), and takes them back by closing them.
+ * Makes a sidecar's calls to its upstream over HTTP/1.1 (Boost.Beast). A call is cancelled by closing its connection.
  *
- * Each call has a connection of its own: a reused one may have been closed by the upstream just before, and then nobody
- * can tell whether a call that may not be repeated has run. On loopback a fresh one costs some tens of microseconds.
+ * Each call has its own connection: a reused one may have been closed by the upstream just before, and then it is unknown whether a call
+ * that may not be repeated has run. On loopback a new connection takes a few tens of microseconds.
  */
 #pragma once
 
@@ -24,7 +24,7 @@
     UpstreamClient(IoContext&, Tcp::endpoint, Report report);
 
     void start(UpstreamCall);
-    /// Closes the call's connection; nothing more is reported of it.
+    /// Closes the call's connection. No further events of it are reported.
     void abort(CallId);
     void releaseResult(const std::string& kvParams);
 
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -19,7 +19,7 @@
     using ResponseParser = http::response_parser<http::string_body>;
 
     constexpr std::uint32_t answerHeaderLimit = 64 * 1024;
-    /// Unacknowledged bytes and unanswered probes end a connection after this long; callers give streams up after 3.6 s.
+    /// A connection with unacknowledged bytes or probes fails after this long. Callers give up a stream after 3.6 s.
     constexpr int upstreamSilenceMs = 3000;
 
     /// For how long a connection may be idle and still be used again.
@@ -83,7 +83,7 @@
         expectAnswer();
         if (!m_isConnected)
             return m_call;
-        // The caller still has to learn of this call: nothing may be reported before it returns.
+        // Nothing may be reported before this function returns the call's number.
         boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
             if (self->m_isClosed || !self->m_isBusy)
                 return;
@@ -92,7 +92,7 @@
         return m_call;
     }
 
-    /// Ends the call if it is still in progress; a later one on this connection is somebody else's.
+    /// Ends the call if it is still in progress. A later call on this connection belongs to another request.
     void cancel(std::uint64_t call)
     {
         if (call != m_call || !m_isBusy)
@@ -132,7 +132,7 @@
     {
         m_mayHaveRun = true;
         boost::asio::async_write(m_socket, boost::asio::buffer(m_request.bytes), [self = shared_from_this()](ErrorCode ec, std::size_t n) {
-            // A write that fails later shows on the reading side too, where an answer may still be waiting.
+            // A write that fails after some bytes also fails the read, which may still find an answer.
             if (!ec) {
                 self->m_isWritten = true;
             } else if (!n && self->m_isBusy) {
@@ -155,8 +155,8 @@
         if (m_isClosed)
             return;
         if (!m_isBusy) {
-            // An idle connection has nothing to say: this is its end, or bytes that belong to no request. Nobody would take out
-            // those of a run that has ended: each restart left some hundred bytes and their buffers for good.
+            // The connection was closed, or the bytes belong to no request. It is removed from the pool here, as connections to runs that
+            // have ended would otherwise never be removed.
             close();
             m_pool.dropIdle(*this);
             return;
@@ -169,7 +169,7 @@
         read();
     }
 
-    /// The connection has ended: an answer without a length is whole if the end was clean.
+    /// The connection has ended. An answer without a length is complete if it ended with an end of file.
     void ended(ErrorCode why)
     {
         if (why == boost::asio::error::eof && m_parser->is_header_done() && !m_parser->is_done() && m_parser->need_eof()) {
@@ -192,7 +192,7 @@
             auto n = m_parser->put(m_input.data(), ec);
             m_input.consume(n);
             if (ec && ec != http::error::need_more)
-                return fail("bytes that are no answer: " + ec.message());
+                return fail("the received bytes are not an HTTP response: " + ec.message());
             if (m_parser->is_header_done() && !m_hasHead && !takeHead())
                 continue;
             passBody();
@@ -210,7 +210,7 @@
         }
     }
 
-    /// \returns false if this was no final answer and the next one is to be read.
+    /// \returns false for an interim (1xx) answer.
     bool takeHead()
     {
         m_hasHead = true;
@@ -273,7 +273,7 @@
     UpstreamPool& m_pool;
     ReplicaRun m_replica;
     Tcp::socket m_socket;
-    Timer m_timer; ///< Limits the making of the connection.
+    Timer m_timer; ///< Limits the time to connect.
     boost::beast::flat_buffer m_input;
     std::array<char, 4096> m_chunk {};
     std::optional<ResponseParser> m_parser;
@@ -297,7 +297,7 @@
 {
 }
 
-/// A kept connection that hears of its end later must not look for the pool.
+/// Idle connections are closed, since their handlers would access the pool later.
 UpstreamPool::~UpstreamPool()
 {
     for (const auto& [replica, connections] : m_idle) {
@@ -327,7 +327,7 @@
         connection->cancel(call.number);
 }
 
-/// The connection that was used last: the others then reach their idle end and are closed.
+/// Takes the connection that was used last, so that unneeded ones reach their idle timeout.
 std::shared_ptr<UpstreamPool::Connection> UpstreamPool::takeIdle(const ReplicaRun& replica)
 {
     auto it = m_idle.find(replica);
@@ -369,8 +369,8 @@
     m_idle.erase(begin, end);
 }
 
-/// Answers to calls of our own are some hundred bytes. A replica that hands out wrong bytes may send them without end; what is longer
-/// is cut, and its reader finds no whole answer in it.
+/// Answers to the process's own calls have a few hundred bytes. A faulty replica may send an endless one; it is truncated, so that it
+/// can't be decoded.
 constexpr std::size_t gatheredLimit = 1u << 20;
 
 UpstreamCallHandlers gather(
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -1,13 +1,13 @@
 /** \file
- * Kept HTTP/1.1 connections to replicas, and one call at a time over each.
+ * A pool of persistent HTTP/1.1 connections to replicas, with one call at a time on each.
  *
- * What a call must never blur is whether the replica may have run it. A call fails as *not sent* if no byte of it left, else
- * as *may have run*. A kept connection is used again only if the whole request was written, the answer was whole and framed,
- * nothing followed it, and the replica is not about to close it: a request that crosses the replica's idle close is lost
- * without a word, and one that may not be repeated is then answered with a failure. The pool therefore gives a connection up
- * well before the time that the replica states.
+ * The pool reports precisely whether the replica may have run a call. A call fails as *not sent* if no byte of it was sent, otherwise as
+ * *may have run*. A connection is reused only if the complete request was written, the answer was complete and framed, nothing followed
+ * it, and the replica is not about to close the connection: a request that is sent while the replica closes it is lost, and if it may not
+ * be repeated, its caller gets a failure. The pool therefore stops using a connection well before the idle timeout that the replica
+ * states.
  *
- * Everything runs on the strand that the pool is given.
+ * Runs on the strand passed to it.
  */
 #pragma once
 
@@ -22,7 +22,7 @@
 
 namespace wrenhinge {
 
-/// The head of an answer as it came.
+/// The status line and headers of an answer, as received.
 struct UpstreamHead {
     int status = 0;
     HeaderList headers;
@@ -38,16 +38,16 @@
     std::function<AnswerOwner(const UpstreamHead&)> whose;
     std::function<void(const UpstreamHead&)> onHead;
     std::function<void(std::string)> onBody;
-    std::function<void()> onEnd; ///< The whole answer has come.
+    std::function<void()> onEnd; ///< The answer is complete.
     std::function<void(bool mayHaveRun, const std::string& why)> onFailure;
 };
 
-/// An answer to a call of our own, whole.
+/// A complete answer to a call that this process makes for itself.
 struct GatheredAnswer {
     UpstreamHead head;
     std::string body;
 };
-/// Handlers for a call whose answer is for us and not for a caller: a short text.
+/// Handlers that collect the answer to a call that this process makes for itself.
 UpstreamCallHandlers gather(
     std::function<void(const GatheredAnswer&)> onEnd, std::function<void(bool mayHaveRun, const std::string& why)> onFailure);
 
@@ -59,16 +59,16 @@
 
 class UpstreamPool {
 public:
-    /// A replica answers a new connection within milliseconds; a dark one never does, and its caller still has time then.
+    /// A replica accepts a connection within milliseconds. An unreachable one never does, and the caller still has time for another.
     static constexpr Duration connectLimit = 250ms;
-    /// Kept connections are given up this long before the replica would close them: several times a round trip.
+    /// Idle connections are dropped this long before the replica would close them: several round trips.
     static constexpr Duration idleMargin = 700ms;
-    /// A replica that states no idle time closes within a second; this is how long its connections are kept.
+    /// Idle time of connections to a replica that states no timeout; such replicas close them within a second.
     static constexpr Duration idleUnstated = 300ms;
 
     class Connection;
-    /// A call. Destroying the handle changes nothing; `cancel` closes the connection at once if the call is still in progress. Its
-    /// connection may meanwhile serve another one: cancelled by mistake, that would neither end nor fail.
+    /// Handle of a call. Destroying it has no effect; `cancel` closes the connection if the call is still in progress. The number
+    /// prevents cancelling a later call on the same connection.
     struct Call {
         std::weak_ptr<Connection> connection;
         std::uint64_t number = 0; ///< Which call of the connection.
@@ -77,11 +77,11 @@
     explicit UpstreamPool(Strand);
     ~UpstreamPool();
 
-    /// \param replica keeps connections of replicas that share an address apart, and those of two runs of one replica: what a former
-    /// run still says on its connection is no answer of the newer one.
+    /// \param replica connections are kept by run: replicas may share an address, and bytes on a connection to a former run are no
+    /// answer of the present one.
     Call call(const ReplicaRun& replica, const std::string& address, UpstreamRequest, UpstreamCallHandlers);
     static void cancel(const Call&);
-    /// Closes the idle connections of a run that has gone, and of those of its id before it.
+    /// Closes the idle connections to a run that has ended, and to earlier runs with its id.
     void forget(const ReplicaRun&);
     [[nodiscard]] std::uint64_t opened() const { return m_opened; }
 
--- a/test/correctness/AdmissionTest.cpp
+++ b/test/correctness/AdmissionTest.cpp
@@ -221,8 +221,7 @@
 
 TEST_CASE("an engine with waiting requests has no headroom")
 {
-    // Guards against requests that an engine refuses after their prefill; 28 were refused within 2 s. When answers outgrow its memory, the
-    // engine preempts two, which then fill its queue. The forecast alone showed headroom again as soon as they were preempted.
+    // Guards against requests that an engine refuses after their prefill.
     SidecarHarness sidecar;
     sidecar.report.waiting = 1;
     sidecar.read();
@@ -235,8 +234,7 @@
 
 TEST_CASE("a restarted engine gets requests only after its new run was announced")
 {
-    // Guards against wasted prefills after an engine has crashed and restarted at the same address under another id: its sidecar knows the
-    // new run 1.2 s before the gateways. When it reported headroom at once, gateways still sent requests for the former run.
+    // Guards against wasted prefills after an engine has crashed and restarted at the same address under another id.
     SidecarHarness sidecar;
     for (std::uint32_t i = 0; i < EngineAdmission::maxMissedReads; ++i)
         sidecar.miss();
--- a/test/correctness/ControllerRoleTest.cpp
+++ b/test/correctness/ControllerRoleTest.cpp
@@ -40,9 +40,7 @@
 
 TEST_CASE("a proposal that comes while the disk is read again is answered")
 {
-    // Symptom: the memory of a controller whose disk is full grows by a document with each attempt of an operator. Sequence: a write
-    // fails; before the disk is read again a proposal comes. Cause: it is dropped unanswered, and what waits for its answer, with the whole
-    // text, is kept for ever.
+    // Guards against a controller with a full disk whose memory grows with each proposal.
     Folder folder;
     auto settings = settingsIn(folder);
     Runtime runtime(settings);
--- a/test/correctness/CrashTest.cpp
+++ b/test/correctness/CrashTest.cpp
@@ -62,8 +62,7 @@
 
 TEST_CASE("a request is refused after three replicas have crashed while running it, one after the other")
 {
-    // Guards against a request that crashes replica after replica since its caller retries after each crash. Each run looked like a new
-    // request, and the crashes were not counted.
+    // Guards against a request that crashes replica after replica since its caller retries after each crash.
     CrashTracker tracker;
     addCrashes(tracker, 1);
     CHECK(tracker.statusOf(request, start) == Status::Unknown);
@@ -85,8 +84,7 @@
 
 TEST_CASE("a caller whose requests ran in a rack that lost power is served")
 {
-    // Guards against refusing a harmless request everywhere for minutes after an outage. A caller sends the same request four times at
-    // once, and all four replicas end at the same time; these crashes must not count as if one had followed another.
+    // Guards against refusing a harmless request everywhere for minutes after an outage.
     CrashTracker tracker;
     for (int i = 0; i < 4; ++i)
         tracker.noteCrash(request, run(i), 300ms, start + i * 40ms);
@@ -98,8 +96,7 @@
 
 TEST_CASE("a replica that announces itself again has not crashed")
 {
-    // Guards against refusing a request whose connections were reset though no replica has crashed: the connections of a gateway's machine
-    // are reset three times while the replicas continue, and the end of a connection is taken for a crash.
+    // Guards against refusing a request whose connections were reset though no replica has crashed.
     CrashTracker tracker;
     ReplicaRegistry registry;
     for (int i = 0; i < 3; ++i)
@@ -258,10 +255,7 @@
 
 TEST_CASE("the exchange of reports between controllers terminates")
 {
-    // Guards against controllers that use all their processor time, fill their links and fail to read back the configuration. A replica
-    // crashes while running a request that then gets a complete response at another gateway. Both reports go from controller to controller,
-    // and each hop makes their times a little later. A cleared crash that arrived again by another path was taken for a new one and cleared
-    // again, forever.
+    // Guards against controllers that use all their processor time, fill their links and fail to read back the configuration.
     CHECK(rc::check("crashes and responses in any order, over paths of any latency", [] {
         constexpr std::size_t controllers = 4;
         constexpr std::size_t maxMessages = 5000;
--- a/test/correctness/DiskMemoryTest.cpp
+++ b/test/correctness/DiskMemoryTest.cpp
@@ -63,8 +63,7 @@
 
 TEST_CASE("an entry on the disk that can't be used is dropped alone")
 {
-    // Symptom: after a restart no replica is known. Sequence: the list was written by a release that knows one more state, or holds
-    // one entry without an address. Cause: one entry that can't be used made the whole list unreadable, or was taken as it was.
+    // Guards against a list of replicas that is lost as a whole over one invalid entry.
     ControllerFolder at;
     PersistedReplicas memory(at.folder.path(), at.log, at.refusals);
     auto list = replicas({ "a", "b", "c", "d", "e", "f" });
@@ -91,7 +90,7 @@
 
 TEST_CASE("requests that end replicas are remembered beside the replicas, each in its file")
 {
-    // Symptom: after a site has lost its power a request that had been refused ends three replicas more.
+    // Guards against forgetting, in a power loss, which requests crash replicas.
     ControllerFolder at;
     PersistedReplicas replicaMemory(at.folder.path(), at.log, at.refusals);
     PersistedCrashes memory(at.folder.path(), at.log, at.refusals);
--- a/test/correctness/DocumentTest.cpp
+++ b/test/correctness/DocumentTest.cpp
@@ -160,8 +160,7 @@
 
 TEST_CASE("a change based on another version than the one in force is refused and has no effect")
 {
-    // Guards against a document in force that nobody submitted: two operators change the document at two controllers at once, both
-    // changes are based on version 1 and committed one after the other, and the second one is applied to version 2.
+    // Guards against a document in force that nobody submitted.
     ControllerState state;
     CHECK(state.apply({ 1, 1, DocumentCommand { 1, textOf(1) } }).code == ResultCode::Ok);
     auto second = state.document().commandFor(2, textOf(2));
@@ -219,8 +218,7 @@
 
 TEST_CASE("a large transfer continues while newer versions arrive, and intermediate versions are skipped")
 {
-    // Guards against a gateway on a slow link that never installs a change: the document changes faster than the link can transfer it,
-    // and each new version restarts the transfer.
+    // Guards against a gateway on a slow link that never installs a change.
     Bench bench(1);
     bench.apply(0, 1, randomText(300000, 1));
     bench.offer(0);
@@ -239,8 +237,7 @@
 
 TEST_CASE("if a controller does not reply, another one is asked")
 {
-    // Guards against a gateway that stays at an old version although controllers have a newer one: the controller that it asked is
-    // partitioned without a connection reset, and no other controller is asked.
+    // Guards against a gateway that stays at an old version although controllers have a newer one.
     Bench bench(2);
     bench.setUnresponsive(0);
     bench.setUnresponsive(1);
@@ -260,8 +257,7 @@
 
 TEST_CASE("a gateway gets its document although replies take longer than its timeout")
 {
-    // Guards against a gateway on a congested link that never installs a change and adds to the congestion: replies take a little longer
-    // than the timeout after which another controller is asked, and each time the transfer restarts there with its first part.
+    // Guards against a gateway on a congested link that never installs a change and adds to the congestion.
     constexpr Duration latency = 1200ms;
     constexpr std::size_t controllers = 3;
     DocumentHistory history;
@@ -308,8 +304,7 @@
 
 TEST_CASE("a gateway that missed hundreds of small changes does not copy the whole text for each of them")
 {
-    // Guards against a gateway that blocks for seconds when it reconnects after an hour of small changes: each step copies and checks the
-    // whole text, and the limit in bytes alone allowed thousands of steps.
+    // Guards against a gateway that blocks for seconds when it reconnects after an hour of small changes.
     auto text = randomText(100000, 7);
     DocumentHistory history;
     for (std::uint64_t version = 1; version <= 600; ++version) {
--- a/test/correctness/EngineSubsetTest.cpp
+++ b/test/correctness/EngineSubsetTest.cpp
@@ -196,8 +196,7 @@
 
 TEST_CASE("a gateway keeps links only to the sidecars of the engines that it uses")
 {
-    // Guards against a load that grows with the number of engines: each of 105 gateways had links to all of 180 sidecars and received each
-    // change of headroom. Gateways were late with everything while engines were idle.
+    // Guards against a load that grows with the number of engines.
     Gateway gateway;
     for (int n = 0; n < 180; ++n)
         gateway.post(RelayedAnnouncement { engine(n, kindOf(n)), Duration::zero() });
@@ -208,8 +207,7 @@
 
 TEST_CASE("a gateway stops dialling the sidecars of engines that were lost without withdrawing")
 {
-    // Guards against dialling the addresses of permanently lost engines once a second each, for as long as the gateway runs: an address was
-    // dropped only when its engine withdrew.
+    // Guards against dialling the addresses of permanently lost engines once a second each, for as long as the gateway runs.
     Gateway gateway;
     for (int n = 0; n < 12; ++n)
         gateway.post(RelayedAnnouncement { engine(n, kindOf(n)), Duration::zero() });
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -27,8 +27,7 @@
 
 TEST_CASE("a request that arrives shortly before the document is served by it")
 {
-    // Guards against refusing every request that arrives before the document. After a restart of the whole site, callers were told to
-    // retry although the gateway could serve them 0.2 s later, and their retries came too late for the target.
+    // Guards against refusing every request that arrives before the document.
     Bench bench;
     bench.replica("r1");
     auto id = bench.submit("/once/x", 600ms);
@@ -60,8 +59,7 @@
 
 TEST_CASE("an unconfirmed document takes effect after a delay, and an older one never replaces a newer one")
 {
-    // Guards against serving routes that were removed: a gateway that has just started connects first to a controller that was
-    // partitioned, and takes its document for the newest.
+    // Guards against serving routes that were removed.
     Bench bench;
     bench.post(DocumentReceived { document(5), false });
     CHECK(!bench.logic().isServing(bench.now));
@@ -124,8 +122,7 @@
 
 TEST_CASE("\"not run\" is said only if no send may have run")
 {
-    // Guards against a request that runs twice because its caller was told "not run" and retried: the connection to the first replica
-    // is reset, the second one refuses, and only the last outcome is considered.
+    // Guards against a request that runs twice because its caller was told "not run" and retried.
     Bench bench;
     bench.serve().replica("a").replica("b");
     bench.submit("/often/x");
@@ -273,8 +270,7 @@
 
 TEST_CASE("a prefill that certainly was not accepted is retried at another replica, one that may have been is not")
 {
-    // Guards against stalled streams at decode replicas while one prefill replica is unreachable and others are idle: the connection
-    // can't be made, and the decode replica had to run the prefill because no other prefill replica was tried.
+    // Guards against stalled streams at decode replicas while one prefill replica is unreachable and others are idle.
     enum class Answer { NoConnection, StatedNotRun, Lost };
     for (auto answer : { Answer::NoConnection, Answer::StatedNotRun, Answer::Lost }) {
         Bench bench;
@@ -301,9 +297,7 @@
 
 TEST_CASE("each refused prefill is charged to the retry budget, whether or not another one follows")
 {
-    // Guards against more retries than the site's retry budget allows: replicas have changed their stage unnoticed and refuse two
-    // prefills per request. Only the second prefill was charged, so two refusals cost one retry, and one cost nothing once the budget
-    // was used up.
+    // Guards against more retries than the site's retry budget allows.
     Bench bench;
     bench.serve().replica("d", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill).replica("q", UpstreamKind::Prefill);
     auto left = [&bench] { return bench.logic().retryBudget(bench.now).at("engine"); };
@@ -320,8 +314,7 @@
 
 TEST_CASE("a KV cache can still be used when the call with it was misdirected")
 {
-    // Guards against prefilling a prompt twice after a restart: a decode replica crashed, and another one at its address grants a
-    // reservation without checking for whom the call is meant, but refuses to run the request. The KV cache was taken for used up.
+    // Guards against prefilling a prompt twice after a restart.
     for (bool isReached : { true, false }) {
         Bench bench;
         bench.serve().replica("d", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill);
@@ -347,8 +340,7 @@
 
 TEST_CASE("a replica without a stage that has read a prompt may also run it")
 {
-    // Guards against refusing requests to a service whose only engine does both prefill and decode: the replica that had run the
-    // prefill was excluded when the replica for the run was chosen.
+    // Guards against refusing requests to a service whose only engine does both prefill and decode.
     Bench bench;
     auto both = document(1);
     both.services[0].isEngine = true;
@@ -387,8 +379,7 @@
 
 TEST_CASE("after a reservation call times out, another decode replica is asked")
 {
-    // Guards against a caller that gives up after 3.6 s without an answer although its request reached no replica: the replica becomes
-    // unreachable, is asked for a reservation over an idle connection that is still open, and the call had no timeout.
+    // Guards against a caller that gives up after 3.6 s without an answer although its request reached no replica.
     Bench bench;
     bench.serve().replica("d", UpstreamKind::Decode).replica("e", UpstreamKind::Decode);
     bench.submit("/stream/x");
@@ -481,9 +472,7 @@
 
 TEST_CASE("a retry copies the KV cache that the prefill replica still holds, as long as that replica is ready")
 {
-    // Guards against streams at a decode replica that stall for 0.3 s and more: a replica crashes, and its resumable streams are resumed
-    // at another one, which prefills all their prompts between the tokens of its own streams. The prefill replica still had the prompts
-    // in its cache, but was not used.
+    // Guards against streams at a decode replica that stall for 0.3 s and more.
     for (bool isPrefillReplicaReady : { true, false }) {
         Bench bench;
         bench.serve().replica("d", UpstreamKind::Decode).replica("e", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill);
@@ -514,8 +503,7 @@
 
 TEST_CASE("a replica never gets more calls than this gateway's share of its connections")
 {
-    // Guards against connection resets of requests that no replica has read: a slow replica accumulates calls from all gateways until it
-    // accepts no more connections, because the gateways did not limit their connections.
+    // Guards against connection resets of requests that no replica has read.
     Bench bench;
     auto limited = document(1);
     limited.services[0].maxConnections = 10;
@@ -580,8 +568,7 @@
 
 TEST_CASE("a gateway that shuts down refuses at once a stream that might be cut off, with a minimal Retry-After")
 {
-    // Guards against streams that are cut off by a planned shutdown: a stream arrives in the seconds in which the draining gateway still
-    // receives requests, and outlives the process.
+    // Guards against streams that are cut off by a planned shutdown.
     Bench bench;
     bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode).replica("a");
     bench.post(Stop { bench.now + stopLimit });
@@ -614,9 +601,7 @@
 
 TEST_CASE("a caller with a shorter timeout than others is refused like them if its stream might be cut off")
 {
-    // Guards against streams that begin in the seconds after the signal to stop and are cut off 5 to 7 s later. Callers' timeouts at their
-    // first attempt differ by 15%, 11.9 to 14 s, and nine in ten are 30 ms below the longest. The difference was taken for a retry after
-    // a refusal by another stopping gateway, and a retry was served unless its stream was more likely to be cut off than not.
+    // Guards against streams that begin in the seconds after the signal to stop and are cut off 5 to 7 s later.
     Bench bench;
     bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
     serveStreams(bench, StreamForecast::minSamples, 2s);
@@ -631,7 +616,6 @@
 TEST_CASE("callers with different timeouts at their first attempt wait equally long for a reservation; retries go behind")
 {
     // Guards against refusing two in three requests after 150 ms while all decode replicas are full and the others wait for 0.6 s.
-    // Callers' timeouts differ by 15%, and each that was below the longest was taken for a retry.
     Bench bench;
     bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
     bench.run(bench.submit("/stream/x", 14s));
@@ -651,8 +635,7 @@
 
 TEST_CASE("a caller that opened a new connection is not taken for one that retries")
 {
-    // Guards against a stream that begins after the signal to stop and is cut off 7 s later. Its caller had spent the round trip of a new
-    // connection while others on the route reused connections, and the difference was taken for a retry after a refusal elsewhere.
+    // Guards against a stream that begins after the signal to stop and is cut off 7 s later.
     Bench bench;
     bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
     bench.post(Stop { bench.now + stopLimit });
@@ -677,8 +660,7 @@
 
 TEST_CASE("after a route's timeout is shortened, callers are not taken for retries")
 {
-    // Guards against treating all requests of a route as late after its timeout was shortened: the caller's timeout was taken to be that
-    // of the route.
+    // Guards against treating all requests of a route as late after its timeout was shortened.
     Bench bench;
     bench.serve().replica("p", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
     bench.run(bench.submit("/stream/x", 14s));
@@ -766,8 +748,7 @@
 
 TEST_CASE("the prefill replica with the shortest backlog is chosen, whichever gateways caused the backlog")
 {
-    // Guards against first events that are 0.7 s late: eight gateways each send one prompt at a time to the nearest replica, where 20
-    // prompts are queued while another replica has 2, because each gateway knew only its own calls.
+    // Guards against first events that are 0.7 s late.
     Bench bench;
     bench.serve().replica("p", UpstreamKind::Prefill).replica("q", UpstreamKind::Prefill).replica("d", UpstreamKind::Decode);
     std::map<std::string, int> chosen;
@@ -788,9 +769,7 @@
 
 TEST_CASE("reservations, KV caches and calls of a former run are dropped at once, and nothing is released at the newer run")
 {
-    // Guards against requests that wait for reservations and KV caches that no longer exist, and against releasing those of other
-    // requests: an engine crashes and restarts under the same id and address, without the reservations and KV caches of its former run,
-    // and issues the same ids again. The gateway identified the engine by its id only.
+    // Guards against requests that wait for reservations and KV caches that no longer exist, and against releasing those of other requests.
     Bench bench;
     bench.serve().restart("d", UpstreamKind::Decode).restart("p", UpstreamKind::Prefill).restart("q", UpstreamKind::Prefill);
     auto id = bench.submit("/stream/x");
@@ -856,8 +835,7 @@
 
 TEST_CASE("the prefill is repeated before a retry if the KV cache was lost with its replica")
 {
-    // Guards against streams at a decode replica that stall while it runs a prefill itself: a prefill replica has read the prompt, crashes
-    // before the decode replica has fetched the KV cache, and restarts; the decode replica states that it did not run the request.
+    // Guards against streams at a decode replica that stall while it runs a prefill itself.
     Bench bench;
     bench.serve().restart("d", UpstreamKind::Decode).restart("e", UpstreamKind::Decode);
     bench.restart("p", UpstreamKind::Prefill).restart("q", UpstreamKind::Prefill);
@@ -916,8 +894,7 @@
 
 TEST_CASE("a call that runs at a former run ends by itself, and is never reported as not run")
 {
-    // Guards against a request that runs twice, or is refused as not run although it may have run: its replica crashes while it runs, and
-    // restarts before the connection reset arrives.
+    // Guards against a request that runs twice, or is refused as not run although it may have run.
     Bench bench;
     bench.serve().restart("a");
     SUBCASE("once only: answered as failed")
@@ -1001,9 +978,7 @@
 
 TEST_CASE("prefills at replicas without recent announcements stay within the retry budget")
 {
-    // Guards against exceeding the retry budget: after the loss of a whole large site, 1,612 retries reached the engines in 10 s where
-    // 899 are allowed. Gateways start and use the replicas that they had stored; many of these have restarted under other ids and refuse
-    // the calls as misdirected. A refused prefill counts as a retry, and each request's first one was sent whatever was left of the budget.
+    // Guards against exceeding the retry budget.
     Bench bench;
     bench.serve().replica("d", UpstreamKind::Decode);
     for (int i = 0; i < 200; ++i) {
@@ -1060,8 +1035,7 @@
 
 TEST_CASE("a gateway reports each replica that crashes under a request, and refuses the request after three crashes")
 {
-    // Guards against a request that crashes one replica after another, with all requests that run there: the replica's connection is
-    // closed, the caller gets 502 and retries. The gateway forgot the request once it was answered and treated each retry as a new one.
+    // Guards against a request that crashes one replica after another, with all requests that run there.
     Bench bench;
     bench.serve().replica("a").replica("b").replica("c").replica("d");
     for (int i = 0; i < 3; ++i) {
@@ -1112,8 +1086,7 @@
 
 TEST_CASE("a request that waits for a reservation or prefill is refused at once when its fingerprint has crashed replicas")
 {
-    // Guards against replicas that crash for some seconds after all gateways know the request: several copies arrive at once and wait for
-    // a reservation or a prefill while a third replica crashes, and only new requests were refused.
+    // Guards against replicas that crash for some seconds after all gateways know the request.
     Bench bench;
     bench.serve().replica("d", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill);
     SUBCASE("during the reservation call")
--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -240,8 +240,7 @@
 
 TEST_CASE("a request that two parsers could read differently is refused and its connection closed")
 {
-    // Symptom: a replica runs a request that nobody sent. Sequence: a second request hides in the body of the first, where one
-    // parser goes by the length and the other by the chunks.
+    // Guards against request smuggling: a replica that runs a request hidden in the body of another one.
     auto refused = [](const std::string& request) {
         Server server(echo);
         Client client(server.address());
@@ -284,8 +283,7 @@
 
 TEST_CASE("a connection that was busy when the server closed is not kept for another request")
 {
-    // Symptom: a request is taken long after SIGTERM, and cut when the process ends. Sequence: the head of a long answer left
-    // before SIGTERM, without `Connection: close`; the answer ends after idle connections were closed; the caller sends again.
+    // Guards against a request that is accepted long after SIGTERM and cut off when the process ends.
     std::shared_ptr<HttpAnswer> kept;
     std::promise<void> arrived;
     Server server([&](HttpRequest&&, std::shared_ptr<HttpAnswer> answer) {
@@ -388,10 +386,7 @@
 
 TEST_CASE("a request that is found together with the end of the idle time is answered")
 {
-    // Symptom: a request on a kept connection reaches a replica, and its connection ends at that moment without an answer; the
-    // decisions don't hear of it and even send the request once more. Sequence: the process stands still; meanwhile the request
-    // comes and the idle time ends; the request is read and passed on, then the idle time's handler closes the connection. Cause:
-    // the wait was cancelled after it had ended, and what closes an idle connection did not look whether it still was idle.
+    // Guards against a request that was passed on while the idle timeout closed its connection without an answer.
     HandRunServer server(shortIdleTime());
     Client client(server.address);
     client.send(get("/1"));
@@ -411,8 +406,7 @@
 
 TEST_CASE("a caller that leaves just as the idle time ended is still noticed")
 {
-    // Symptom: a replica goes on with work that nobody waits for. Sequence and cause as above: the connection counted as ended
-    // already, so that its real end was told to nobody.
+    // Guards against a replica that continues to work for a caller that has disconnected.
     HandRunServer server(shortIdleTime());
     Client client(server.address);
     server.callFirst([] {});
@@ -428,9 +422,7 @@
 
 TEST_CASE("bytes that came before the idle time was noticed to be over are served")
 {
-    // Symptom: a whole request gets neither an answer nor a refusal beside a large change of the configuration. Sequence: the
-    // process stands still; the idle time ends, the request comes; the idle time's handler runs first, and the request is read and
-    // thrown away by a connection that is closing. Cause: nobody looked whether something had come.
+    // Guards against a complete request that is discarded because the process was suspended past the idle timeout.
     HandRunServer server(shortIdleTime());
     Client client(server.address);
     client.send(get("/1"));
@@ -449,8 +441,7 @@
 
 TEST_CASE("a request whose last bytes are found together with the end of its time is not refused as well")
 {
-    // Symptom: 408, which promises that a request has not run, for one that a replica runs. Sequence: the process stands still while
-    // the rest of a header comes and the header's time ends; the request is passed on, then refused.
+    // Guards against answering 408, which means "not run", to a request that a replica runs.
     HandRunServer server(shortHeaderTime());
     Client client(server.address);
     client.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n");
@@ -470,9 +461,7 @@
 
 TEST_CASE("a connection that is about to end takes no further request")
 {
-    // Symptom: a request reaches a replica and its connection ends without an answer. Sequence: the last answer of a connection is
-    // still being written, since its caller reads slowly; the caller sends another request; it is passed on, and the connection is
-    // closed when the former answer has left.
+    // Guards against a request that is passed on although its connection closes after the previous answer.
     HandRunServer server({});
     Client client(server.address);
     client.send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
@@ -491,8 +480,7 @@
 
 TEST_CASE("an answer that its caller reads slowly does not count as idle time")
 {
-    // Symptom: an answer is cut though its caller still reads it. Sequence: the whole answer is handed to the connection, and the
-    // idle time ends before the caller has taken all of it.
+    // Guards against cutting off an answer that its caller reads slowly.
     HandRunServer server(shortIdleTime());
     Client client(server.address);
     client.send(get("/1"));
@@ -510,8 +498,7 @@
 
 TEST_CASE("a longer idle time holds for connections that wait already")
 {
-    // Symptom: callers' requests cross our close, since they go by the new idle time. Sequence: a change of the configuration makes
-    // it longer while connections wait.
+    // Guards against closing connections by the old idle timeout while callers rely on the new one.
     HandRunServer server(shortIdleTime());
     Client client(server.address);
     client.send(get("/1"));
@@ -531,8 +518,7 @@
 
 TEST_CASE("a larger limit of bodies holds for connections that wait already")
 {
-    // Symptom: 413 for a body that the configuration in force allows. Sequence: a connection waits for its next request, a change of
-    // the configuration allows larger bodies, the request comes. Cause: the limit was taken when the connection began to wait.
+    // Guards against answering 413 to a body that the configuration in force allows.
     HttpServer::Limits limits;
     limits.bodyBytes = 1;
     HandRunServer server(limits);
@@ -550,8 +536,7 @@
 
 TEST_CASE("a request that has come before idle connections are closed is answered")
 {
-    // Symptom: a whole request gets neither an answer nor a refusal when its gateway stops. Sequence: the request has come but is
-    // not read yet when the server closes its idle connections.
+    // Guards against a complete request that gets no answer because its gateway shuts down.
     HandRunServer server({});
     Client client(server.address);
     client.send(get("/1"));
@@ -613,8 +598,7 @@
 
 TEST_CASE("an answer without a length is whole at a clean end and cut at a reset")
 {
-    // Symptom: a caller gets half an answer that looks whole. Sequence: the replica crashes in an answer that ends with its
-    // connection. Cause: looking whether the peer had closed took the reset off the socket, and the read after it saw a clean end.
+    // Guards against passing on a truncated answer as complete.
     Replica clean([](Tcp::socket socket) {
         readRequest(socket);
         writeText(socket, "HTTP/1.1 200 OK\r\nId: me\r\n\r\nhalf");
@@ -664,8 +648,7 @@
 
 TEST_CASE("a connection that is found together with the end of its time limit is used")
 {
-    // Symptom: a request that may not be repeated ends with a failure though its replica runs it. Sequence: the process stands still
-    // while a connection to the replica is made and the time for that ends; the request is sent, then given up.
+    // Guards against giving up a request that its replica runs, when the connect timeout and the connection come together.
     Replica replica([](Tcp::socket socket) {
         while (!readRequest(socket).empty())
             writeText(socket, whole);
@@ -679,9 +662,7 @@
 
 TEST_CASE("cancelling a call that has ended leaves the next call on its connection alone")
 {
-    // Symptom: a request gets no answer, and its call neither ends nor fails. Sequence: a call is given up, but its answer had come
-    // just before; the next call takes the connection; what gave the first one up closes it. Cause: a call was known by its
-    // connection only.
+    // Guards against a call that neither ends nor fails.
     Replica replica([](Tcp::socket socket) {
         while (!readRequest(socket).empty())
             writeText(socket, whole);
--- a/test/correctness/LedgerTest.cpp
+++ b/test/correctness/LedgerTest.cpp
@@ -161,8 +161,7 @@
 
 TEST_CASE("a message of an earlier attempt is not forwarded to the caller")
 {
-    // Guards against mixing the answers of two attempts: a message of the first attempt arrives after the second has started
-    // at the same sidecar, and messages are matched by request alone.
+    // Guards against mixing the answers of two attempts.
     for (bool checks : { true, false }) {
         Safeguards safeguards;
         safeguards.checksAttempts = checks;
--- a/test/correctness/LogTest.cpp
+++ b/test/correctness/LogTest.cpp
@@ -43,8 +43,7 @@
 
 TEST_CASE("a pipe that nobody reads costs lines, and not the one who logs")
 {
-    // Symptom: a gateway answers nobody. Sequence: its standard output is a pipe whose reader has stalled, and the pipe is full. Cause:
-    // requests are logged on the thread that serves them, and the write blocks.
+    // Guards against a gateway that stops answering because it can't write its log.
     std::array<int, 2> ends {};
     REQUIRE(::pipe(ends.data()) == 0);
     std::size_t taken = 0;
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -331,8 +331,7 @@
 
 TEST_CASE("a permanently failed controller is replaced, and then a second one may fail")
 {
-    // Guards against a log that accepts nothing after a second failure: c fails permanently, d connects from another address with an
-    // empty disk, and a fails seconds later. As d was never made a voter, two of three voters had failed.
+    // Guards against a log that accepts nothing after a second failure.
     Cluster cluster({ "a", "b", "c" });
     cluster.advance(2s);
     REQUIRE(cluster.commit(1));
@@ -402,8 +401,7 @@
 
 TEST_CASE("controllers that all restart elect a leader before an election timeout has passed")
 {
-    // Guards against a delay of most of a second, in which all requests are refused, after a power loss of the whole site: all
-    // controllers start and connect within some 100 ms, but each waits for a whole election timeout first.
+    // Guards against a delay of most of a second, in which all requests are refused, after a power loss of the whole site.
     Cluster cluster({ "a", "b", "c" });
     cluster.advance(2s);
     REQUIRE(cluster.commit(1));
@@ -438,8 +436,7 @@
 
 TEST_CASE("three initial members grow to the voters that the failures to tolerate need, spread over the zones")
 {
-    // Guards against a log that accepts and reads nothing after two of three disks are lost, although five machines are healthy: three
-    // initial members, three more controllers, and two initial members lose their disks at once. The others were only learners.
+    // Guards against a log that accepts and reads nothing after two of three disks are lost, although five machines are healthy.
     Cluster cluster(initialMembers, 2);
     startRemaining(cluster);
     REQUIRE(cluster.awaitMembers(5));
@@ -524,8 +521,7 @@
 
 TEST_CASE("two voters fail right after a learner has replaced a third")
 {
-    // Guards against a log that accepts nothing although two failures must be tolerated and the first one was repaired: a voter fails,
-    // the sixth controller replaces it, and two others fail at once. The new voter was a member, but could not vote yet.
+    // Guards against a log that accepts nothing although two failures must be tolerated and the first one was repaired.
     Cluster cluster(initialMembers, 2);
     startRemaining(cluster);
     REQUIRE(cluster.awaitMembers(5));
@@ -629,9 +625,7 @@
 
 TEST_CASE("a leader that was suspended does not commit an entry with a wiped disk against newer entries of the others")
 {
-    // Guards against an accepted document that is replaced by another one: the leader is suspended, the two others elect one of
-    // themselves and accept a document; that one stops, the third loses its disk, and the former leader resumes as if no time had
-    // passed. The entry that registers the wiped disk was committed with the acknowledgement of this very disk.
+    // Guards against an accepted document that is replaced by another one.
     Cluster cluster({ "a", "b", "c" }, 1);
     cluster.advance(2s);
     REQUIRE(cluster.commit(1));
--- a/test/correctness/PauseTest.cpp
+++ b/test/correctness/PauseTest.cpp
@@ -26,9 +26,7 @@
 
 TEST_CASE("a link whose peer has spoken while this process stood still is kept")
 {
-    // Symptom: all links of a controller are dialled again at once. Sequence: it stands still for longer than a peer may be silent;
-    // the peers' bytes come meanwhile; the check of the silence runs before they are read. Cause: it looked at what had been
-    // read, not at what had come.
+    // Guards against reconnecting all links of a controller that was busy for longer than the silence limit.
     IoContext io { 1 };
     Tcp::acceptor acceptor(io, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
     Tcp::socket peer(io);
@@ -54,8 +52,7 @@
 
 TEST_CASE("a caller's request that is found together with the end of its time is handed over and not refused")
 {
-    // Symptom: 408, which promises that a request has not run, for one that is handed over. Sequence: the process stands still, the
-    // request comes and its connection's time ends; the reading goes on after the refusal.
+    // Guards against answering 408, which means "not run", to a request that is handed over.
     constexpr Duration limit = 30ms;
     IoContext io { 1 };
     CallerSettings settings;
--- a/test/correctness/RegistrarTest.cpp
+++ b/test/correctness/RegistrarTest.cpp
@@ -91,9 +91,7 @@
 
 TEST_CASE("a link that comes up is told what its controller knows, but not how many gateways there are")
 {
-    // Symptom: after a loss of a whole site its gateways may send more calls beyond the first than all of them are allowed. Sequence: a
-    // controller starts; the gateway that links to it first is told at once that it is the only one, and takes the whole slack of the
-    // budget; so does the next one at another controller. Cause: gateways were counted before they had had time to link.
+    // Guards against gateways that exceed the retry budget together after a loss of the whole site.
     Link link(Duration::zero());
     CHECK(link.heard.await(1).gateways == 0);
     link.start();
@@ -102,9 +100,7 @@
 
 TEST_CASE("a controller that has just started says nothing of how many gateways there are")
 {
-    // Symptom: after a loss of a whole large site 1,565 calls beyond the first reach a service in 10 s, where 900 are allowed. Sequence:
-    // all start; each controller tells the gateways that have found it so far how many these are, 8 say; each of 105 gateways takes an
-    // eighth of the slack. Cause: a number that grows for seconds was told as if it were one.
+    // Guards against gateways that exceed the retry budget together after a loss of a whole large site.
     Link link(Registrar::gatewayCountDelay);
     link.heard.await(1);
     link.start();
--- a/test/correctness/RegistryTest.cpp
+++ b/test/correctness/RegistryTest.cpp
@@ -55,8 +55,7 @@
 
 TEST_CASE("a heartbeat lists only stale entries, and its size does not grow with the number of fresh ones")
 {
-    // Guards against processor time and traffic of idle processes that grow with replicas times links: each controller sent each link the
-    // age of each replica once a second, although nothing had changed.
+    // Guards against processor time and traffic of idle processes that grow with replicas times links.
     auto few = registryOf(10);
     auto many = registryOf(10000);
     auto bytes = [](const ReplicaRegistry& registry) { return encode(registry.heartbeat(stale, start + 1s)).size(); };
@@ -98,9 +97,7 @@
 
 TEST_CASE("controllers that renew each other's entries detect a replica that has crashed")
 {
-    // Guards against gateways that send requests to replaced replicas, whose addresses belong to other replicas by then: of 150 requests in
-    // 10 s, 98 calls were answered as misdirected. A replica ends without withdrawing, and two controllers continue to send each other
-    // heartbeats. A run that a heartbeat did not list counted as heard from 0.8 s ago, at both in turn, forever.
+    // Guards against gateways that send requests to replaced replicas, whose addresses belong to other replicas by then.
     auto a = registryOf(2);
     auto b = registryOf(2);
     auto gateway = registryOf(2);
@@ -128,8 +125,7 @@
 
 TEST_CASE("a process that knows other replicas renews only the entries that are listed")
 {
-    // Guards against requests to a replica that has ended. A controller knows its newer run, or its end; this process does not, and applies
-    // a heartbeat to the run that it knows. Entries that are not listed say nothing to a process with another digest.
+    // Guards against requests to a replica that has ended.
     auto sender = registryOf(3);
     auto receiver = registryOf(3);
     sender.announce(replica(0, 1, ReplicaStart(5)), 0s, start + 3s);
@@ -239,8 +235,7 @@
 
 TEST_CASE("a gateway that starts with ten controllers requests the list from one of them, and from no other after that")
 {
-    // Guards against gateways that serve nothing in the second after a loss of all instances, with the processor busy. Ten controllers each
-    // sent a gateway that had connected 185 replicas, one message per replica, though the first had sent the same already.
+    // Guards against gateways that serve nothing in the second after a loss of all instances, with the processor busy.
     auto known = registryOf(185);
     ForwardLogic gateway({ "z", 1, { 0.2, 60, 10s }, "gateway" });
     auto requestsIn = [](const ForwardLogic::Effects& effects) {
--- a/test/correctness/ReplicaTest.cpp
+++ b/test/correctness/ReplicaTest.cpp
@@ -129,9 +129,7 @@
 
 TEST_CASE("after the loss of a whole site no gateway uses more than its share of the slack")
 {
-    // Guards against exceeding the retry budget: after a power loss of all instances, 353 retries reached a service in 10 s where 222 are
-    // allowed. 30 gateways start, and no controller has told them their number, or only one that counts those connected so far. Each
-    // assumed to be one of ten, or of the few that were counted first.
+    // Guards against exceeding the retry budget.
     constexpr std::uint32_t gateways = 30;
     RetryBudgetSettings settings { 0.2, 100, 10s };
     std::vector<SharedRetryBudget> budgets(gateways, SharedRetryBudget(settings));
@@ -156,8 +154,7 @@
 
 TEST_CASE("a gateway that has just started leaves budget for the retries of its former run in the same window")
 {
-    // Guards against 285 retries in 10 s where 276 are allowed: gateways retry in a surge, lose power, restart, and retry requests that
-    // were refused by replicas which had been replaced meanwhile. Each run kept within the budget by itself.
+    // Guards against 285 retries in 10 s where 276 are allowed.
     SharedRetryBudget budget({ 0.2, 100, 10s });
     budget.setGateways(1, start);
     budget.countRequest("s", start);
@@ -167,8 +164,7 @@
 
 TEST_CASE("a replica that is not what it announced gets no calls before its next announcement is due")
 {
-    // Guards against 106 retries in 10 s for 176 requests: an order to change the stage is carried out but its answer is lost, and the
-    // replica refuses calls for its former stage. It was called again after 0.4 s, by each request.
+    // Guards against 106 retries in 10 s for 176 requests.
     ReplicaTable table("z", 1);
     table.registry().announce(announcement("a", 1), 0s, start);
     table.noteControllerContact(start);
--- a/test/correctness/ReplicationTest.cpp
+++ b/test/correctness/ReplicationTest.cpp
@@ -118,9 +118,7 @@
 
 TEST_CASE("a leader without replies keeps leading until another leader could have been elected")
 {
-    // Guards against repeated elections without an accepted change on slow disks: a leader is elected, and the first replies of its
-    // members wait for their disks for longer than a heartbeat interval. When a member counted as reachable only after it had confirmed
-    // the registration of its disk, the first check of a new leader found no majority.
+    // Guards against repeated elections without an accepted change on slow disks.
     Raft leader(settingsOf("a"), recoveredAt(1), start);
     leader.recover();
     auto now = leader.nextWake();
@@ -138,8 +136,7 @@
 
 TEST_CASE("missing entries are sent once, however many heartbeats the member has rejected")
 {
-    // Guards against a document that is sent many times to a controller that is behind, until its link is closed: the controller is
-    // suspended while heartbeats are queued for it, then rejects each of them, and each rejection resends all missing entries.
+    // Guards against a document that is sent many times to a controller that is behind, until its link is closed.
     auto content = recoveredAt(1);
     content.entries = { { 1, 1, DocumentCommand { 1, std::string(documentBytes, 'x'), 0, {} } } };
     LeaderAndFollower pair(content);
@@ -151,9 +148,7 @@
 
 TEST_CASE("a snapshot is sent once, however often its first chunk was resent")
 {
-    // Guards against a link to a controller with an empty disk that is congested for seconds: the controller is suspended after the first
-    // chunk was sent, each heartbeat resends this chunk, and each reply to a resent chunk sends the next chunk, so that all chunks are
-    // duplicated.
+    // Guards against a link to a controller with an empty disk that is congested for seconds.
     auto content = recoveredAt(1);
     content.snapshot = { 10, 1, std::string(documentBytes, 'x') };
     LeaderAndFollower pair(content);
@@ -166,9 +161,7 @@
 
 TEST_CASE("entries that a snapshot has replaced are deleted from the disk")
 {
-    // Guards against a controller that does not start: "the log has no entry 21". As the leader it wrote entries that no other member
-    // stored; the next leader has compacted its own entries at these indexes and sends a snapshot, then one more entry, and the
-    // controller restarts. The replaced entries beyond the snapshot were still on the disk, followed by the new entry.
+    // Guards against a controller that does not start: "the log has no entry 21".
     Folder folder;
     LogStorage storage;
     REQUIRE(storage.open(folder.path(), DiskId('b')));
@@ -201,9 +194,7 @@
 
 TEST_CASE("a snapshot is not assembled from the chunks of two leaders")
 {
-    // Guards against a controller that exits with "a snapshot with a valid checksum can't be decoded", also after each restart: a leader
-    // stops during the transfer, and the next one has a snapshot up to the same entry and sends it from the beginning. The transfer was
-    // continued with the bytes of the second one, which may differ, since the order of the elements in a state may differ.
+    // Guards against a controller that exits with "a snapshot with a valid checksum can't be decoded", also after each restart.
     Raft raft(settingsOf("b"), recoveredAt(1), start);
     raft.recover();
     raft.receive("a", SnapshotChunk { 2, 15, 2, 0, "aaaa", false }, start);
@@ -246,9 +237,7 @@
 
 TEST_CASE("a controller does not offer its document as the newest before its leader knows the commit index")
 {
-    // Guards against gateways that use an outdated document after a power loss of the whole site: version 1 is in the snapshots, version 6
-    // was acknowledged and is in the logs; all controllers start, and the elected leader sends its first heartbeat. A leader that has not
-    // committed an entry yet sends the commit index of its snapshot, and a member that had applied that index offered it as the newest.
+    // Guards against gateways that use an outdated document after a power loss of the whole site.
     ControllerState former;
     former.apply({ 1, 1, DocumentCommand { 1, "version 1", 0, {} } });
     auto content = recoveredAt(3);
@@ -271,8 +260,7 @@
 
 TEST_CASE("a read forwarded to the leader is rejected when the link to it closes")
 {
-    // Guards against a read that waits for its whole timeout and fails, and whose state is kept for ever: a controller forwards it to the
-    // leader, and the link closes before the reply. Only proposals were rejected in this case.
+    // Guards against a read that waits for its whole timeout and fails, and whose state is kept for ever.
     ControllerLogic logic(settingsOf("c"), recoveredAt(3), start);
     logic.start();
     constexpr std::uint64_t ticket = 7;
@@ -292,8 +280,7 @@
 
 TEST_CASE("documents that reach the leader together are all accepted, whichever version they are based on")
 {
-    // Guards against eight simultaneous updates of which most are rejected three times and fail with 503: they are forwarded as changes of
-    // version 1 and queued at the leader, and once the first is applied, the others are based on an old version.
+    // Guards against eight simultaneous updates of which most are rejected three times and fail with 503.
     auto settings = settingsOf("a");
     settings.members = { "a" };
     ControllerLogic logic(settings, recoveredAt(1), start);
--- a/test/correctness/RunTest.cpp
+++ b/test/correctness/RunTest.cpp
@@ -162,8 +162,7 @@
 
 TEST_CASE("a replica that starts again under its id is taken as it is now, though it counts anew")
 {
-    // Symptom: callers are sent to an address and a stage that the replica no longer has. Sequence: a replica that has announced itself
-    // for the 40th time crashes and starts again under its id. Cause: its announcements are ordered by their count alone.
+    // Guards against sending requests to the address and stage of a replica's former run.
     ReplicaRegistry registry;
     registry.announce(announcement(first, 40, ReplicaState::Draining), 0s, start);
     CHECK(registry.announce(announcement(second, 1), 0s, start + 2s) == Change::Restarted);
@@ -176,7 +175,7 @@
 
 TEST_CASE("a replica that has withdrawn itself is used again when it has started again")
 {
-    // Symptom: a replica that was emptied, and started again under its id, gets no work. Cause: its id was withdrawn, not its run.
+    // Guards against a replica that gets no work after it was withdrawn and restarted under its id.
     ReplicaRegistry registry;
     registry.announce(announcement(first, 40), 0s, start);
     CHECK(registry.withdraw({ "a", first }, start));
@@ -188,8 +187,7 @@
 
 TEST_CASE("nothing that comes late of a former run changes anything of the newer one")
 {
-    // Symptom: a replica that has just started gets no work, or looks alive when it is not. Sequence: a cut delays what its former run
-    // has said, until the new run is known.
+    // Guards against taking a late announcement of a former run for one of the present run.
     ReplicaRegistry registry;
     registry.announce(announcement(first, 40), 0s, start);
     registry.announce(announcement(second, 1), 0s, start);
@@ -205,7 +203,7 @@
 
 TEST_CASE("a change of stage that a former run was ordered to make ends with it")
 {
-    // Symptom: a replica that has started again gets no work for 10 s. Cause: its former run had been ordered to change its stage.
+    // Guards against a restarted replica that gets no work for 10 s.
     ReplicaRegistry registry;
     registry.announce(announcement(first, 40), 0s, start);
     CHECK(registry.changeStage({ "a", UpstreamKind::Decode, 10s, first }, start));
@@ -215,8 +213,7 @@
 
 TEST_CASE("a heartbeat renews the runs that it names, also over a link, and costs few bytes more for that")
 {
-    // Symptom: a run that has ended looks alive, or its successor, which crashed, does. Sequence: one controller has heard of the newer
-    // run, the other one is cut off and renews what it knows. Cause: renewals named the id.
+    // Guards against renewing a run that has ended.
     ReplicaRegistry newer;
     for (int i = 0; i < 100; ++i)
         newer.announce(
@@ -261,8 +258,7 @@
 
 TEST_CASE("processes that have heard of different runs agree on the newer one once a cut has healed")
 {
-    // Symptom: one half of the gateways goes on sending to an address that is gone. Sequence: a replica crashes behind a cut and starts
-    // again; each side has heard of another run, and each takes its own for the newer.
+    // Guards against gateways that send to a former run's address after a network partition.
     CHECK(rc::check("any two histories of one replica", [] {
         using Said = std::tuple<int, int, int>; // What: announce, drain, withdraw; the run; the sequence.
         auto said
@@ -301,8 +297,7 @@
     // The former run's entry is not renewed by what the new one says: it ages out.
     auto later = start + ReplicaRegistry::expiredAfter + 1s;
     CHECK(registry.entries().at("a").isSilent(later));
-    // Symptom: a controller never hears of a replica. Sequence: another one has just dropped the old entry, takes the new run and tells
-    // it once; this one drops its own half a second later.
+    // Guards against a controller that never learns of a replica.
     bool hasTidiedUp = false;
     SUBCASE("in a process that has tidied up since") { hasTidiedUp = true; }
     SUBCASE("in one that has not") { }
@@ -313,8 +308,7 @@
 
 TEST_CASE("a run that was followed by a newer one does not come back when that one is forgotten")
 {
-    // Symptom: callers are sent to a run that ended minutes ago. Sequence: it starts again, crashes for good, and a cut lets a former
-    // announcement through after the new run has been forgotten.
+    // Guards against sending requests to a run that ended minutes ago.
     ReplicaRegistry registry;
     registry.announce(announcement(first, 40), 0s, start);
     registry.announce(announcement(second, 1), 0s, start + 2s);
@@ -329,8 +323,7 @@
 
 TEST_CASE("load, speed, failures and ejection are a run's: one that starts again begins as an unknown one")
 {
-    // Symptom: a replica that has just started is left idle for seconds, or is sent too little for good. Sequence: its former run went
-    // dark with calls in progress, which count until they are given up. Cause: the table went by the id.
+    // Guards against counting the load of a former run for the present one.
     ReplicaTable table("z", 1);
     table.noteControllerContact(start);
     ReplicaRun former { "a", first };
@@ -373,8 +366,7 @@
 
 TEST_CASE("a connection that was kept to a former run is not used for the newer one, and is closed with what came before it")
 {
-    // Symptom: the first calls to a replica that has started again are reset and lost. Sequence: the replica crashed without a word, so
-    // that kept connections to it look open. Cause: they were kept by its id.
+    // Guards against calls that are lost on connections to a former run.
     Answerer replica;
     PoolCaller caller;
     ReplicaRun former { "a", first };
@@ -427,8 +419,7 @@
 
 TEST_CASE("a controller's disk keeps the run, so that what it remembers is never taken for a newer one")
 {
-    // Symptom: after a restart of the whole site a replica that had started again is sent to its former address. Sequence: a controller
-    // that was down meanwhile remembers the former run with a higher count.
+    // Guards against restoring a replica's former address after a restart of the whole site.
     ControllerFolder at;
     PersistedReplicas memory(at.folder.path(), at.log, at.refusals);
     memory.save({ announcement(first, 40) });
--- a/test/correctness/StageTest.cpp
+++ b/test/correctness/StageTest.cpp
@@ -152,9 +152,7 @@
 
 TEST_CASE("at a large site engines are moved one by one until the split is right")
 {
-    // Guards against a plan that demands a tenth from each single change: with forty engines and a load of 4.5 prefill and 23 decode
-    // replicas, one engine changes the split by only 4%. No change was made, and 25% of generations were refused for lack of memory while
-    // 14 prefill replicas were busy for a third of their time.
+    // Guards against a plan that demands a tenth from each single change.
     auto split = pool(14, 26, 4.5, 23);
     std::size_t changes = 0;
     for (auto change = plan(split); change; change = plan(split), ++changes) {
@@ -171,8 +169,7 @@
 
 TEST_CASE("no engine is moved to prefill replicas that are hardly used")
 {
-    // Guards against a plan based on the ratio of two incomplete loads: 1 s into the first surge, when two of eight gateways had reported,
-    // a decode replica was moved.
+    // Guards against a stage plan based on the loads of a few gateways while others have not reported yet.
     CHECK(!plan(pool(4, 7, 0.51, 1.53)));
 }
 
@@ -223,8 +220,7 @@
 
 TEST_CASE("the measured time of answers is not biased by the short ones, which end first")
 {
-    // Guards against decode replicas being ordered to the prefill stage seconds after a restart. Answers take 1 to 9 s, 5 s on average.
-    // After 6 s mostly short ones have ended, and a mean over these alone is 2.4 s.
+    // Guards against decode replicas being ordered to the prefill stage seconds after a restart.
     EngineProperties facts { 64, 60000, 2s, 500ms, 6s };
     EngineLoad load;
     auto now = start;
@@ -283,8 +279,7 @@
 
 TEST_CASE("a new leader waits until the former leader's last order is a lease old")
 {
-    // Guards against orders from two controllers alternately: the leader sends an order and is partitioned, and the next leader sends its
-    // own at once, while the first one can still be in flight.
+    // Guards against orders from two controllers alternately.
     ControllerHarness controller;
     CHECK(!controller.advance(10s));
     controller.post(LeadershipChanged { 5 });
@@ -298,8 +293,7 @@
 
 TEST_CASE("a controller that was suspended between token and order sends no order")
 {
-    // Guards against an older order after a newer one: the leader acquires a token and is suspended for seconds, in which another leader
-    // sends an order. When it resumes, it still has its token.
+    // Guards against an older order after a newer one.
     ControllerHarness controller;
     controller.post(LeadershipChanged { 1 });
     auto read = std::get<ReadEngine>(*controller.advance(10s));
@@ -313,8 +307,7 @@
 
 TEST_CASE("after an order without a reply, none is sent until it can no longer be carried out")
 {
-    // Guards against an engine in the wrong stage: an order gets no reply, the next one is sent, and then the first one is carried out,
-    // seconds after the engine was ordered back.
+    // Guards against an engine in the wrong stage.
     for (bool isReported : { true, false }) {
         ControllerHarness controller;
         auto sent = controller.sendOrder();
@@ -376,8 +369,7 @@
 
 TEST_CASE("the split of a large site adapts as fast as that of a small one")
 {
-    // Guards against a pause between orders that doesn't depend on the number of engines. At one change a second, 32 of 180 engines took
-    // 32 s to change to the decode stage; in a surge callers were refused while a third of 63 prefill engines was idle.
+    // Guards against a pause between orders that doesn't depend on the number of engines.
     for (auto [prefill, decode] : { std::pair(63, 117), std::pair(4, 7) }) {
         CAPTURE(prefill);
         ControllerHarness controller(prefill, decode);
@@ -403,8 +395,7 @@
 
 TEST_CASE("an engine whose announcement is overdue does not count in a plan")
 {
-    // Guards against counting crashed engines: two engines crashed and were replaced, and for 4.5 s the plan counted both the old and the
-    // new ones. A prefill replica was ordered to the decode stage, and another one back 11 s later.
+    // Guards against counting crashed engines.
     ControllerHarness controller;
     for (const auto* id : { "p4", "p5", "p6" })
         controller.registry().announce(engine(id, UpstreamKind::Prefill), {}, controller.now);
@@ -427,8 +418,7 @@
 
 TEST_CASE("an order is aborted if the engine's run that it was planned for has ended")
 {
-    // Guards against an engine that changes its stage without need just after a restart: its count of orders is read, it crashes, and
-    // restarts under the same id. The id and the count, zero before and after, don't distinguish the two runs.
+    // Guards against an engine that changes its stage without need just after a restart.
     ControllerHarness controller;
     controller.startAll(firstStart);
     controller.post(LeadershipChanged { 1 });
--- a/test/correctness/StorageTest.cpp
+++ b/test/correctness/StorageTest.cpp
@@ -181,9 +181,7 @@
 
 TEST_CASE("the records of one sync are recovered completely or not at all")
 {
-    // Guards against a controller that reports a damaged log after a power loss and does not start: several records are written,
-    // power fails before their sync, and the disk has kept a later one without an earlier one. When each record was a write of
-    // its own, the gap between them looked like damage in the middle.
+    // Guards against a controller that reports a damaged log after a power loss and does not start.
     Folder folder;
     {
         LogStorage storage;
@@ -200,9 +198,7 @@
 
 TEST_CASE("a torn record of megabytes is truncated without trying every byte as the start of a record")
 {
-    // Guards against a controller that takes minutes to start after power has failed during the write of a large document. The
-    // cause was that each byte after the torn record was tried as the length of another one, and the rest of the log hashed for
-    // it; this test took hours then.
+    // Guards against a controller that takes minutes to start after power has failed during the write of a large document.
     Folder folder;
     {
         LogStorage storage;
--- a/test/correctness/TimerTest.cpp
+++ b/test/correctness/TimerTest.cpp
@@ -12,9 +12,7 @@
 
 TEST_CASE("a subscriber that waits for nothing is not called")
 {
-    // Symptom: an idle gateway takes all the processor time that it is given, and a controller on the same machine does not get
-    // to start. Sequence: the last request ends, and the logic's next wake-up is the end of time. Cause: the system's timer
-    // counts in nanoseconds and wrapped round, so that it fired at once, again and again.
+    // Guards against an idle gateway that uses all processor time, so that a controller on its machine can't start.
     IoContext io;
     TimerService timers(io);
     int idleCalls = 0;
@@ -37,8 +35,7 @@
 
 TEST_CASE("a wait that has ended but was cancelled or replaced before its report is not reported")
 {
-    // Symptom: a connection is closed though what it waited for has come. Sequence: the process stands still, a wait ends, and
-    // another handler that is ready too cancels it. Cause: Asio reports a wait that has ended, whatever is called after that.
+    // Guards against closing a connection although the data that it waited for has arrived.
     IoContext io;
     auto work = boost::asio::make_work_guard(io);
     auto strand = boost::asio::make_strand(io);
--- a/test/failure/ProcessTest.cpp
+++ b/test/failure/ProcessTest.cpp
@@ -154,7 +154,7 @@
 
 TEST_CASE("a caller that closes while it waits, prefills, transfers or streams leaves nothing held")
 {
-    // Symptom: engine memory stays held. Sequence: the caller closes at some stage. Cause: the close is not passed on.
+    // Guards against engine memory that stays reserved after its gateway has ended.
     SUBCASE("queued")
     {
         Cluster cluster({ .controllers = 1,
@@ -314,7 +314,7 @@
 
 TEST_CASE("a gateway that freezes past every lease while its call runs does not make it run again")
 {
-    // Symptom: a dispatch runs twice. Sequence: SIGSTOP of the gateway, resend through the other, SIGCONT.
+    // Guards against a dispatch that runs twice.
     Cluster cluster({ .controllers = 1, .plains = 1 });
     cluster.start();
     cluster.configure(rules);
@@ -401,8 +401,7 @@
 
 TEST_CASE("a caller whose request and close arrive together has gone")
 {
-    // Symptom: a call waits for a caller who left. Sequence: the request's last bytes and the close come in one segment.
-    // Cause: the event loop waits for a second signal of the kernel, which never comes.
+    // Guards against a call that continues for a caller that has disconnected.
     Cluster cluster(
         { .controllers = 1, .gateways = 1, .prefills = 1, .decodes = 1, .plains = 1, .engineOptions = { "--fixed-ms", "60000" } });
     cluster.start();
--- a/test/failure/SnapshotTest.cpp
+++ b/test/failure/SnapshotTest.cpp
@@ -10,8 +10,7 @@
 
 TEST_CASE("a snapshot that can't be decoded replaces nothing")
 {
-    // Guards against a controller that exits with "a snapshot with a valid checksum can't be decoded" whenever it receives a snapshot: the
-    // leader runs another release, and the follower replaces its log by the snapshot before it has decoded it.
+    // Guards against a controller that exits with "a snapshot with a valid checksum can't be decoded" whenever it receives a snapshot.
     Instant now { 1h };
     raft::Settings settings;
     settings.self = "a";
