--- a/src/base/EventCode.cpp
+++ b/src/base/EventCode.cpp
@@ -52,6 +52,7 @@
         EventRow { EventCode::UpstreamRestarted, "UPSTREAM_RESTARTED" },
         EventRow { EventCode::UpstreamRateLimited, "UPSTREAM_RATE_LIMITED" },
         EventRow { EventCode::UpstreamRateLimitLifted, "UPSTREAM_RATE_LIMIT_LIFTED" },
+        EventRow { EventCode::PermitIssuerChanged, "PERMIT_ISSUER_CHANGED" },
         EventRow { EventCode::LeaderElected, "LEADER_ELECTED" },
         EventRow { EventCode::LeaderLost, "LEADER_LOST" },
         EventRow { EventCode::ConfigAccepted, "CONFIG_ACCEPTED" },
--- a/src/base/EventCode.h
+++ b/src/base/EventCode.h
@@ -62,6 +62,7 @@
     UpstreamRestarted = 406,
     UpstreamRateLimited = 407,
     UpstreamRateLimitLifted = 408,
+    PermitIssuerChanged = 409,
     // 5xx: controllers.
     LeaderElected = 500,
     LeaderLost = 501,
--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -49,6 +49,9 @@
 /// A client account in messages: a hash of its name.
 using AccountId = StrongId<struct AccountTag>;
 
+/// The request rate limit of one run of a replica in messages: a hash of the run.
+using LimitId = StrongId<struct LimitTag>;
+
 /// When a replica started: Unix milliseconds by its own machine's clock; zero if not stated.
 using ReplicaStart = StrongId<struct ReplicaStartTag>;
 
@@ -77,6 +80,7 @@
 /// 16 hexadecimal digits.
 std::string toString(RequestFingerprint);
 std::string toString(AccountId);
+std::string toString(LimitId);
 /// `<id>@<start>`, or the id alone if the run states no start.
 std::string toString(const ReplicaRun&);
 
--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -101,6 +101,16 @@
         return faultOfId(limit.replica);
     }
 
+    /// The highest request rate limit that is accepted, times the time in which permits lapse, is far below this.
+    constexpr double mostPermits = 1e9;
+
+    Fault check(const PermitDemand& demand)
+    {
+        if (!(demand.held >= 0 && demand.held <= mostPermits && demand.returned >= 0 && demand.returned <= mostPermits))
+            return wrong("demands", "amounts of permits from zero", toString(demand.limit));
+        return std::nullopt;
+    }
+
     template <typename T> Fault checkEach(const std::vector<T>& list)
     {
         for (const auto& item : list) {
@@ -125,7 +135,14 @@
 
     Fault check(const ReplicaRateLimits& limits) { return checkEach(limits.limits); }
 
-    Fault check(const ReplicaUsageReport& usage) { return check(usage.report); }
+    Fault check(const ReplicaUsageReport& usage)
+    {
+        if (!(usage.permits.lentShare >= 0 && usage.permits.lentShare <= 1))
+            return wrong("lentShare", "a part of a limit, from 0 to 1", std::to_string(usage.permits.lentShare));
+        if (auto fault = checkEach(usage.permits.demands))
+            return fault;
+        return check(usage.report);
+    }
 
     Fault check(const ReplicaUsageTotals& usage) { return check(usage.totals); }
 
--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -715,17 +715,52 @@
     MSGPACK_DEFINE(limits)
 };
 
-/// From a gateway to all controllers while limits are in force: the calls that it sent to the limited replicas. Each one is counted like
-/// an account, by the hash of its run.
+/// What a gateway needs of the permits for one limit.
+struct PermitDemand {
+    LimitId limit;
+    double held = 0; ///< Permits that it has and has not used yet.
+    double returned = 0; ///< Permits that it gives back: it can't use them any more.
+    std::uint32_t wanted = 0;
+    std::uint32_t rank = 0; ///< Of the most urgent call that waits for a permit; lower ones are more urgent.
+    MSGPACK_DEFINE(limit, held, returned, wanted, rank)
+};
+
+/// From a gateway to the controller that issues its permits. Clock readings are only compared by the process that they come from.
+struct PermitRequest {
+    std::int64_t sentAt = 0; ///< By the gateway's clock, in microseconds.
+    std::int64_t grantSentAt = 0; ///< `sentAt` of the last grant that has arrived; zero: none.
+    double lentShare = 0; ///< The part of each limit that the gateway lends to the controller for `permits::lendTerm`.
+    std::vector<PermitDemand> demands; ///< Limits that are left out need nothing.
+    MSGPACK_DEFINE(sentAt, grantSentAt, lentShare, demands)
+};
+
+/// Permits for one limit.
+struct IssuedPermits {
+    LimitId limit;
+    std::uint32_t count = 0;
+    MSGPACK_DEFINE(limit, count)
+};
+
+/// From a controller to a gateway: the answer to its last request.
+struct PermitGrant {
+    std::int64_t sentAt = 0; ///< By the controller's clock, in microseconds.
+    std::int64_t requestSentAt = 0; ///< `sentAt` of that request.
+    std::vector<IssuedPermits> permits;
+    MSGPACK_DEFINE(sentAt, requestSentAt, permits)
+};
+
+/// From a gateway to a controller while limits are in force.
 struct ReplicaUsageReport {
-    QuotaReport report;
-    MSGPACK_DEFINE(report)
+    QuotaReport report; ///< Used by an earlier release, which counted the calls instead; empty.
+    PermitRequest permits;
+    MSGPACK_DEFINE(report, permits)
 };
 
-/// From a controller to the gateways that use its totals.
+/// From a controller to a gateway.
 struct ReplicaUsageTotals {
-    QuotaTotals totals;
-    MSGPACK_DEFINE(totals)
+    QuotaTotals totals; ///< Used by an earlier release; empty.
+    PermitGrant grant;
+    MSGPACK_DEFINE(totals, grant)
 };
 
 using Message = std::variant<Hello, UpstreamAnnouncement, SlotGrant, Refused, PrefillDone, ResponseHead, ResponseData, ResponseEnd, Failed,
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -220,7 +220,7 @@
         } else if (auto* limits = std::get_if<ReplicaRateLimits>(&message)) {
             post(forward::ReplicaLimitsReceived { std::move(limits->limits) });
         } else if (auto* usage = std::get_if<ReplicaUsageTotals>(&message)) {
-            post(forward::ReplicaUsageTotalsReceived { peer, std::move(usage->totals) });
+            post(forward::PermitsReceived { peer, std::move(usage->grant) });
         } else if (std::holds_alternative<DocumentOffer>(message) || std::holds_alternative<DocumentPart>(message)) {
             m_documents.post(document::PeerMessage { peer, std::move(message) });
         }
@@ -464,9 +464,9 @@
         sendToControllers([&usage](PeerId to) { return quotaReportFor(to, usage.report); });
     }
 
-    void execute(forward::ReportReplicaUsage& usage)
+    void execute(forward::RequestPermits& permits)
     {
-        sendToControllers([&usage](PeerId to) { return ReplicaUsageReport { quotaReportFor(to, usage.report) }; });
+        m_hub.send(permits.controller, ReplicaUsageReport { {}, std::move(permits.request) });
     }
 
     void execute(forward::ReportReplicaLimits& report)
--- a/src/process/ReplicaLimitRelay.cpp
+++ b/src/process/ReplicaLimitRelay.cpp
@@ -1,7 +1,7 @@
 #include "process/ReplicaLimitRelay.h"
 
 #include "base/SystemClock.h"
-#include "request/fleet/AccountQuotas.h"
+#include "request/fleet/PermitTerms.h"
 
 namespace wrenhinge {
 
@@ -21,20 +21,13 @@
 
 void ReplicaLimitRelay::connect(const Hello& peer)
 {
-    if (peer.role == Role::Gateway) {
-        m_gateways[peer.id] = peer.name;
-        m_aggregator.connected(peer.id, peer.name);
-    }
     if (auto all = m_table.all(); !all.empty())
         m_hub.send(peer.id, ReplicaRateLimits { std::move(all) });
 }
 
 void ReplicaLimitRelay::peerDown(PeerId peer)
 {
-    boost::asio::post(m_strand, [this, peer] {
-        m_gateways.erase(peer);
-        m_aggregator.disconnected(peer, currentInstant());
-    });
+    boost::asio::post(m_strand, [this, peer] { m_permits.disconnected(peer); });
 }
 
 void ReplicaLimitRelay::receive(PeerId peer, ReplicaRateLimits limits)
@@ -44,10 +37,7 @@
 
 void ReplicaLimitRelay::receive(PeerId peer, ReplicaUsageReport usage)
 {
-    boost::asio::post(m_strand, [this, peer, usage = std::move(usage)] {
-        if (m_isCounting)
-            m_aggregator.take(peer, usage.report, currentInstant());
-    });
+    boost::asio::post(m_strand, [this, peer, usage = std::move(usage)] { m_permits.take(peer, usage.permits, currentInstant()); });
 }
 
 void ReplicaLimitRelay::relay(PeerId from, const ReplicaRateLimits& limits)
@@ -55,44 +45,34 @@
     auto news = m_table.take(limits.limits, currentInstant());
     if (news.empty())
         return;
-    if (!m_isCounting && m_table.hasLimits())
-        startCounting();
+    applyLimits();
     for (const auto& peer : m_hub.peers()) {
         if (peer.id != from && peer.role != Role::Sidecar)
             m_hub.send(peer.id, ReplicaRateLimits { news });
     }
 }
 
-/// Gateways report only while a limit is in force. An aggregator of an earlier time would take those that were silent since for
-/// unreachable, and reserve shares of the limit for them.
-void ReplicaLimitRelay::startCounting()
+void ReplicaLimitRelay::applyLimits()
 {
-    m_isCounting = true;
-    m_aggregator = QuotaAggregator();
-    for (const auto& [id, name] : m_gateways)
-        m_aggregator.connected(id, name);
-    broadcast();
+    m_permits.setLimits(m_table.limitsById(), currentInstant());
+    if (!m_isIssuing && m_table.hasLimits())
+        issuePermits();
 }
 
-void ReplicaLimitRelay::broadcast()
+void ReplicaLimitRelay::issuePermits()
 {
-    dropEnded();
-    m_isCounting = m_table.hasLimits();
-    if (!m_isCounting)
+    if (!m_table.dropEnded(m_registry, currentInstant()).empty())
+        m_permits.setLimits(m_table.limitsById(), currentInstant());
+    m_isIssuing = m_table.hasLimits();
+    if (!m_isIssuing)
         return;
-    for (const auto& [peer, totals] : m_aggregator.totalsToSend(currentInstant()))
-        m_hub.send(peer, ReplicaUsageTotals { totals });
-    m_timer.expires_after(quota::broadcastInterval);
+    for (auto& [peer, grant] : m_permits.grants(currentInstant()))
+        m_hub.send(peer, ReplicaUsageTotals { {}, std::move(grant) });
+    m_timer.expires_after(permits::grantInterval);
     m_timer.async_wait([this](ErrorCode ec) {
         if (!ec)
-            broadcast();
+            issuePermits();
     });
 }
 
-void ReplicaLimitRelay::dropEnded()
-{
-    for (const auto& run : m_table.dropEnded(m_registry, currentInstant()))
-        m_aggregator.forget(accountId(toString(run)));
-}
-
 } // namespace wrenhinge
--- a/src/process/ReplicaLimitRelay.h
+++ b/src/process/ReplicaLimitRelay.h
@@ -1,20 +1,16 @@
 /** \file
- * Relays at a controller which replicas state a request rate limit, and how many requests the gateways send them.
+ * Relays at a controller which replicas state a request rate limit, and issues permits for requests to them (PermitPool).
  *
- * Changes go to all other gateways and controllers, since a gateway may reach only one side of a network partition. While any limit is in
- * force, the gateways report their requests, and QuotaAggregator adds them up.
+ * Changes go to all other gateways and controllers, since a gateway may reach only one side of a network partition.
  *
  * Runs on the strand passed to it.
  */
 #pragma once
 
 #include "connection/PeerHub.h"
-#include "request/fleet/QuotaAggregator.h"
+#include "request/fleet/PermitPool.h"
 #include "request/fleet/ReplicaLimitTable.h"
 
-#include <map>
-#include <string>
-
 namespace wrenhinge {
 
 class ReplicaLimitRelay {
@@ -31,18 +27,16 @@
 private:
     void connect(const Hello&);
     void relay(PeerId from, const ReplicaRateLimits&);
-    void startCounting();
-    void broadcast();
-    void dropEnded();
+    void applyLimits();
+    void issuePermits();
 
     Strand m_strand;
     PeerHub& m_hub;
     const ReplicaRegistry& m_registry;
     boost::asio::steady_timer m_timer;
     ReplicaLimitTable m_table;
-    QuotaAggregator m_aggregator;
-    std::map<PeerId, std::string> m_gateways; ///< Names of the connected gateways.
-    bool m_isCounting = false; ///< Whether a limit is in force, so that gateways report.
+    PermitPool m_permits;
+    bool m_isIssuing = false; ///< Whether a limit is in force, so that gateways request permits.
 };
 
 } // namespace wrenhinge
--- a/src/request/fleet/AccountQuota.cpp
+++ b/src/request/fleet/AccountQuota.cpp
@@ -44,9 +44,6 @@
 /// What this gateway may use per second without knowing the usage of the others.
 double AccountQuota::share(Instant now) const
 {
-    // A few requests say nothing about how much of them a gateway will see.
-    if (isSmooth())
-        return m_rule.perSecond / m_gateways;
     auto own = m_ownRate.perSecond(now);
     return quota::isolatedShare(m_rule.perSecond, m_reservedPerSecond, own, m_isBusy ? own + m_othersPerSecond : 0, m_gateways);
 }
@@ -55,7 +52,7 @@
 {
     auto limit = m_rule.perSecond;
     auto spare = unreservedFraction * tolerance() / toSeconds(m_settings.window);
-    auto isolatedShare = isSmooth() ? share(now) : m_isolatedShare.value_or(share(now));
+    auto isolatedShare = m_isolatedShare.value_or(share(now));
     auto perSecond = isIsolated(now) ? isolatedShare : limit - std::max(0.0, m_reservedPerSecond - spare);
     return { perSecond, depth() * perSecond / limit };
 }
@@ -86,26 +83,18 @@
 }
 
 AccountQuota::Verdict AccountQuota::admit(double amount, Instant now)
-{
-    if (tryAdmit(amount, now, 0))
-        return {};
-    return { false, recordRefusal(amount, now) };
-}
-
-bool AccountQuota::tryAdmit(double amount, Instant now, double draw)
 {
     if (isLimited()) {
         fill(now);
         // A request may be larger than the bucket, or than this gateway's share of it. It is admitted when the bucket is full, and later
         // requests wait until the debt is filled up.
-        auto needed = isSmooth() || isIsolated(now) ? 0 : std::min(amount, allowance(now).depth);
-        bool isDrawnNow = !isSmooth() || isDrawn(amount, now, draw);
-        if (m_level < needed || m_level <= 0 || !isDrawnNow)
-            return false;
+        auto needed = isIsolated(now) ? 0 : std::min(amount, allowance(now).depth);
+        if (m_level < needed || m_level <= 0)
+            return { false, recordRefusal(amount, now) };
         recordUsage(amount, now);
     }
     ++m_admitted;
-    return true;
+    return {};
 }
 
 /// The part of all gateways' usage that is this gateway's own.
@@ -115,24 +104,6 @@
     return std::clamp(own / std::max(1e-9, own + m_othersPerSecond), 1.0 / m_gateways, 1.0);
 }
 
-/// Admits with the probability by which all gateways together use up the bucket in the smoothing time, if the others see as much demand
-/// in proportion to their usage.
-bool AccountQuota::isDrawn(double amount, Instant now, double draw)
-{
-    m_demand.add(amount, now);
-    auto fraction = isIsolated(now) ? isolatedSmoothingFraction : usageFraction(now);
-    auto demand = m_demand.perSecond(now) / fraction * toSeconds(m_settings.smoothing);
-    return draw * demand < m_level;
-}
-
-void AccountQuota::charge(double amount, Instant now)
-{
-    if (!isLimited())
-        return;
-    fill(now);
-    recordUsage(amount, now);
-}
-
 void AccountQuota::recordUsage(double amount, Instant now)
 {
     m_level -= amount;
--- a/src/request/fleet/AccountQuota.h
+++ b/src/request/fleet/AccountQuota.h
@@ -25,9 +25,6 @@
     Duration window = 8s;
     double excess = 0; ///< As a fraction of what the limit allows in the window.
     double slack = 0; ///< Added to that, in the unit of the limit.
-    /// If not zero, the bucket is used up over about this time, in random steps. A limit of a few requests needs it: all gateways that wait
-    /// for the next one would send theirs at once, each before it hears of the others.
-    Duration smoothing {};
 };
 
 namespace quota {
@@ -70,14 +67,6 @@
     };
     /// Takes the amount from the bucket, or refuses it and says when to retry.
     Verdict admit(double amount, Instant now);
-    /// Takes the amount from the bucket, or returns false. \param draw uniformly distributed from 0 to 1; used only with smoothing.
-    bool tryAdmit(double amount, Instant now, double draw);
-    /// Takes the amount from the bucket although it may not hold enough.
-    void charge(double amount, Instant now);
-    /// Records a caller that will retry. \returns when.
-    Duration recordRefusal(double amount, Instant now);
-    /// Time until the bucket will hold the amount, after those refused before have retried.
-    [[nodiscard]] Duration timeUntil(double amount, Instant now);
     /// Puts back what was admitted but has not run.
     void refund(double amount, Instant now);
     /// Applies the usage of all other gateways, as broadcast by a controller.
@@ -144,10 +133,6 @@
     /// Reservations up to this fraction of the tolerance don't reduce the limit: the tolerance covers what unreachable gateways use for a
     /// short time.
     static constexpr double unreservedFraction = 1.0 / 64;
-    /// Time constant of the demand by which a bucket is used up smoothly.
-    static constexpr Duration demandTimeConstant = 2s;
-    /// An isolated gateway's bucket holds twice what its share fills in the smoothing time, so half of it is used up in that time.
-    static constexpr double isolatedSmoothingFraction = 0.5;
     /// Smallest rate for which a Retry-After is computed.
     static constexpr double minRetryPerSecond = 0.01;
 
@@ -155,13 +140,13 @@
         double perSecond = 0;
         double depth = 0;
     };
-    [[nodiscard]] bool isSmooth() const { return m_settings.smoothing > Duration::zero(); }
     [[nodiscard]] double tolerance() const;
     [[nodiscard]] double depth() const;
     [[nodiscard]] double share(Instant now) const;
     void recordUsage(double amount, Instant now);
     [[nodiscard]] double usageFraction(Instant now) const;
-    [[nodiscard]] bool isDrawn(double amount, Instant now, double draw);
+    [[nodiscard]] Duration recordRefusal(double amount, Instant now);
+    [[nodiscard]] Duration timeUntil(double amount, Instant now);
     void decayRetryDemand(Instant now);
     [[nodiscard]] bool isIsolated(Instant now) const { return !m_hasContact || m_isNew || isTotalOverdue(now); }
     [[nodiscard]] Allowance allowance(Instant now) const;
@@ -177,7 +162,6 @@
     Instant m_filledAt;
     double m_unreported = 0;
     DecayingRate m_ownRate { quota::usageTimeConstant };
-    DecayingRate m_demand { demandTimeConstant }; ///< What this gateway was asked to admit; kept with smoothing only.
     std::optional<double> m_isolatedShare; ///< Set while isolated: what this gateway may use per second.
     double m_shareLevel = 0; ///< What this gateway may use at once without knowing the usage of the others.
     bool m_exceedsShare = false;
--- a/src/request/fleet/AccountQuotas.cpp
+++ b/src/request/fleet/AccountQuotas.cpp
@@ -58,24 +58,6 @@
     return verdict;
 }
 
-bool AccountQuotas::tryAdmit(const std::string& account, double amount, Instant now)
-{
-    auto* quota = find(account, now);
-    if (!quota)
-        return true;
-    bool isAdmitted = quota->tryAdmit(amount, now, std::uniform_real_distribution<double>()(m_random));
-    scheduleReport(*quota, now);
-    return isAdmitted;
-}
-
-void AccountQuotas::charge(const std::string& account, double amount, Instant now)
-{
-    if (auto* quota = find(account, now)) {
-        quota->charge(amount, now);
-        scheduleReport(*quota, now);
-    }
-}
-
 void AccountQuotas::scheduleReport(const AccountQuota& quota, Instant now)
 {
     if (quota.unreported() > quota.reportThreshold() || quota.asksForTotal())
--- a/src/request/fleet/AccountQuotas.h
+++ b/src/request/fleet/AccountQuotas.h
@@ -8,7 +8,6 @@
 
 #include <map>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -28,11 +27,9 @@
     static constexpr Duration knownGatewaysLifetime = 60s;
 
     /// \param gateway the name of this gateway.
-    /// \param seed of the random draws with smoothing.
-    explicit AccountQuotas(QuotaSettings settings = {}, std::string gateway = {}, std::uint64_t seed = 0)
+    explicit AccountQuotas(QuotaSettings settings = {}, std::string gateway = {})
         : m_settings(settings)
         , m_gateway(std::move(gateway))
-        , m_random(seed)
     {
     }
 
@@ -40,10 +37,6 @@
     void setRules(const std::map<std::string, QuotaRule>&, Instant now);
     /// Takes the amount from the account's bucket. An account without a rule is not limited.
     AccountQuota::Verdict admit(const std::string& account, double amount, Instant now);
-    /// Like `admit`, for callers that have an alternative to a retry. \returns false if the account's bucket holds too little.
-    bool tryAdmit(const std::string& account, double amount, Instant now);
-    /// Takes the amount although the bucket may not hold enough.
-    void charge(const std::string& account, double amount, Instant now);
     void refund(const std::string& account, double amount, Instant now);
 
     // Received from controllers.
@@ -89,7 +82,6 @@
     std::optional<PeerId> m_previousSource; ///< It stopped sending totals of a busy account, and is chosen only if there is no other.
     Instant m_reportAt = Instant::max();
     Instant m_reportedAt;
-    std::mt19937_64 m_random;
 };
 
 /// The id that stands for the account in messages between processes.
--- a/src/request/fleet/ReplicaLimitTable.cpp
+++ b/src/request/fleet/ReplicaLimitTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <xxhash.h>
 
 namespace wrenhinge {
 
@@ -60,6 +61,14 @@
     return limits;
 }
 
+std::map<LimitId, double> ReplicaLimitTable::limitsById() const
+{
+    std::map<LimitId, double> byId;
+    for (const auto& [run, perSecond] : limits())
+        byId.emplace(limitId(run), perSecond);
+    return byId;
+}
+
 bool ReplicaLimitTable::hasLimits() const
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [](const auto& item) { return item.second.perSecond.has_value(); });
@@ -82,4 +91,10 @@
     return dropped;
 }
 
+LimitId limitId(const ReplicaRun& run)
+{
+    auto text = toString(run);
+    return LimitId(XXH3_64bits(text.data(), text.size()));
+}
+
 } // namespace wrenhinge
--- a/src/request/fleet/ReplicaLimitTable.h
+++ b/src/request/fleet/ReplicaLimitTable.h
@@ -34,6 +34,7 @@
     [[nodiscard]] std::vector<ReplicaRateLimit> all() const;
     /// The limits in force, in requests per second, at least `minRequestsPerSecond`.
     [[nodiscard]] std::map<ReplicaRun, double> limits() const;
+    [[nodiscard]] std::map<LimitId, double> limitsById() const;
     [[nodiscard]] bool hasLimits() const;
     /// Drops the entries of runs that have ended. \returns these runs.
     std::vector<ReplicaRun> dropEnded(const ReplicaRegistry&, Instant now);
@@ -48,4 +49,7 @@
     std::map<ReplicaRun, Entry> m_entries;
 };
 
+/// The id that stands for the limit of this run in messages between processes.
+LimitId limitId(const ReplicaRun&);
+
 } // namespace wrenhinge
--- a/src/request/fleet/ReplicaLimits.h
+++ b/src/request/fleet/ReplicaLimits.h
@@ -1,16 +1,15 @@
 /** \file
  * A gateway's view of the request rate limits that replicas state, which all gateways enforce together.
  *
- * A limit is a few requests a second for all gateways, so a gateway's share would be one request in many seconds, or minutes. The gateways
- * count together instead, as for the quotas of client accounts (AccountQuotas), with smoothing: a request is let through with a
- * probability that makes all gateways together use the limit steadily.
+ * A limit is a few requests a second for all gateways, so a gateway's share would be one request in many seconds, or minutes. A controller
+ * issues permits to the gateways that have calls instead (PermitClient).
  *
  * A gateway asks `mayCall` for the replica that it prefers. What is granted is a permit for its next call there, so that asking twice for
  * one request takes nothing twice.
  */
 #pragma once
 
-#include "request/fleet/AccountQuotas.h"
+#include "request/fleet/PermitClient.h"
 #include "request/fleet/ReplicaLimitTable.h"
 
 #include <cstdint>
@@ -27,8 +26,11 @@
     /// After a request was refused, less urgent ones get no permit for this long, in which the next permit is due.
     static constexpr Duration urgentHoldTime = 1s;
 
-    /// \param gateway the name of this gateway.
-    ReplicaLimits(std::string gateway, std::uint64_t seed);
+    /// \param seed of the random draws.
+    explicit ReplicaLimits(std::uint64_t seed)
+        : m_permits(seed)
+    {
+    }
 
     // Which limits there are.
     /// See ReplicaLimitTable::observe.
@@ -58,22 +60,22 @@
     };
     std::optional<Usage> usage(const ReplicaRun&, Instant now);
 
-    /// The count that all gateways share, by `toString` of the run.
-    AccountQuotas& counts() { return m_counts; }
-    [[nodiscard]] Instant nextReport() const { return m_counts.nextReport(); }
+    PermitClient& permits() { return m_permits; }
+    [[nodiscard]] Instant nextPermitRequest() const { return m_permits.nextRequest(); }
 
 private:
     struct Limited {
+        LimitId id;
         std::optional<Instant> permitUntil;
         std::uint32_t refusedRank = 0; ///< The most urgent rank that was refused lately.
         std::optional<Instant> refusedAt;
     };
 
-    void applyRules(Instant now);
-    AccountQuota* quotaOf(const ReplicaRun&);
+    void applyLimits(Instant now);
+    PermitBucket* bucketOf(const ReplicaRun&, Instant now);
 
     ReplicaLimitTable m_table;
-    AccountQuotas m_counts;
+    PermitClient m_permits;
     std::map<ReplicaRun, Limited> m_limited;
     std::uint64_t m_refusals = 0;
 };
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -214,8 +214,8 @@
     }
     if (crashesReplicas(flow, now))
         return refuseAsCrashing(flow, now);
-    if (auto delay = flow.runs ? std::nullopt : limitRetryAfter(flow, now))
-        return refuseUntil(flow, ResultCode::Overloaded, reason, delay, now);
+    if (auto atLimit = replicasAtLimit(flow, now); !flow.runs && !atLimit.empty())
+        return refuseAtLimit(flow, reason, atLimit, now);
     auto notRun = flow.refusals ? ResultCode::Overloaded : ResultCode::NoUpstream;
     refuse(flow, flow.runs ? ResultCode::UpstreamFailed : notRun, reason, now);
 }
--- a/src/request/forward/ForwardEffects.h
+++ b/src/request/forward/ForwardEffects.h
@@ -166,12 +166,13 @@
     std::optional<PeerId> controller; ///< Unset: all controllers.
     std::vector<ReplicaRateLimit> limits;
 };
-/// Report to all controllers how many calls were sent to replicas with a limit.
-struct ReportReplicaUsage {
-    AccountQuotas::Report report;
+/// Request permits for calls to replicas with a limit.
+struct RequestPermits {
+    PeerId controller;
+    PermitRequest request;
 };
 using Effect = std::variant<Send, CancelCall, ReserveAtReplica, ReserveAtSidecar, EndSidecarReservation, NotifyPrefill, ReleaseReservation,
     ReleaseKvCache, Reply, Refuse, BeginStream, StreamBytes, EndStream, AbortStream, Finished, DropConnections, SetLimits, ConnectSidecar,
-    DisconnectSidecar, FetchRegistry, ReportLoad, ReportCrashes, ReportQuotaUsage, ReportReplicaLimits, ReportReplicaUsage, LogEvent>;
+    DisconnectSidecar, FetchRegistry, ReportLoad, ReportCrashes, ReportQuotaUsage, ReportReplicaLimits, RequestPermits, LogEvent>;
 
 } // namespace wrenhinge::forward
--- a/src/request/forward/ForwardEngines.cpp
+++ b/src/request/forward/ForwardEngines.cpp
@@ -12,7 +12,7 @@
 void ForwardLogic::on(const RegistryHeartbeatReceived& event, Instant now)
 {
     m_quotas.noteContact(event.controller, now);
-    m_limits.counts().noteContact(event.controller, now);
+    m_limits.permits().noteContact(event.controller, now);
     on(event.heartbeat, now);
     m_registryFollower.digestReceived(event.controller, event.heartbeat.digest, event.heartbeat.known);
     fetchRegistry(now);
@@ -43,7 +43,7 @@
     m_replicas.engineHeadroom().forget(event.peer);
     m_registryFollower.disconnected(event.peer);
     m_quotas.disconnected(event.peer);
-    m_limits.counts().disconnected(event.peer);
+    m_limits.permits().disconnected(event.peer);
 }
 
 // --- The subset of engines --------------------------------------------------------------------------------------
--- a/src/request/forward/ForwardEvents.h
+++ b/src/request/forward/ForwardEvents.h
@@ -152,10 +152,10 @@
 struct ReplicaLimitsReceived {
     std::vector<ReplicaRateLimit> limits;
 };
-/// A controller reported how many calls the other gateways send to replicas with a limit.
-struct ReplicaUsageTotalsReceived {
+/// A controller issued permits for calls to replicas with a limit.
+struct PermitsReceived {
     PeerId controller;
-    QuotaTotals totals;
+    PermitGrant grant;
 };
 /// The process is shutting down. Answers that are not complete at the deadline are cut off.
 struct Stop {
@@ -170,6 +170,6 @@
 using Event = std::variant<Submit, CallerDisconnected, AnswerHead, AnswerBody, AnswerEnd, CallFailed, ReplicaAnswered, ReservationGranted,
     ReservationRefused, SidecarReservationReply, EngineHeadroomReported, PeerDisconnected, RegistryHeartbeatReceived, RegistryListReceived,
     PrefillFinished, PrefillFailed, DocumentReceived, DocumentConfirmed, RelayedAnnouncement, ReplicaWithdrawn, RegistryHeartbeat,
-    StageChange, ControllerConnected, CrashesReported, QuotaTotalsReceived, ReplicaLimitsReceived, ReplicaUsageTotalsReceived, Stop, Tick>;
+    StageChange, ControllerConnected, CrashesReported, QuotaTotalsReceived, ReplicaLimitsReceived, PermitsReceived, Stop, Tick>;
 
 } // namespace wrenhinge::forward
--- a/src/request/forward/ForwardFlow.h
+++ b/src/request/forward/ForwardFlow.h
@@ -51,6 +51,8 @@
 
     // Resources held at engines for this request.
     ReservationQueue::Waiter waiter;
+    std::optional<Instant>
+        permitWaitUntil; ///< Until when it waits, or has waited, for a permit to call a replica with a request rate limit.
     std::optional<forward::Reservation> reservation;
     std::optional<PeerId> reservationSidecar; ///< The sidecar that was asked for the reservation and counts the request at its engine.
     std::optional<forward::KvCacheSource> kvSource;
--- a/src/request/forward/ForwardLimits.cpp
+++ b/src/request/forward/ForwardLimits.cpp
@@ -14,6 +14,10 @@
 
     /// Shortest Retry-After while limits are used up: less than the time between two requests at the lowest useful limits.
     constexpr Duration minLimitRetryAfter = 50ms;
+    /// How long a request waits for a permit: a request for permits and the next grant of the controller take less.
+    constexpr Duration maxPermitWait = 250ms;
+    /// For this long after a request has waited in vain, others of its service don't wait.
+    constexpr Duration permitShortageMemory = 1s;
 
     std::string describe(const ReplicaRateLimit& change)
     {
@@ -55,12 +59,26 @@
     m_shouldAdmit = m_shouldAdmit || m_queue.size();
 }
 
-void ForwardLogic::on(const ReplicaUsageTotalsReceived& event, Instant now) { m_limits.counts().take(event.controller, event.totals, now); }
+void ForwardLogic::on(const PermitsReceived& event, Instant now)
+{
+    m_limits.permits().take(event.controller, event.grant, now);
+    if (event.grant.permits.empty())
+        return;
+    m_shouldAdmit = m_shouldAdmit || m_queue.size();
+    retryAwaitingPermits(now);
+}
 
-void ForwardLogic::reportReplicaUsage(Instant now)
+void ForwardLogic::requestPermits(Instant now)
 {
-    if (auto report = m_limits.counts().report(now))
-        m_effects.push_back(ReportReplicaUsage { std::move(*report) });
+    auto& permits = m_limits.permits();
+    auto former = permits.controller();
+    if (auto request = permits.request(now))
+        m_effects.push_back(RequestPermits { request->first, std::move(request->second) });
+    if (permits.controller() == former)
+        return;
+    auto text = permits.controller() ? "permits are requested from controller " + toString(*permits.controller())
+                                     : std::string("no controller is reachable, this gateway creates its share of the permits itself");
+    m_effects.push_back(LogEvent { EventCode::PermitIssuerChanged, {}, std::move(text) });
 }
 
 /// Chooses the best replica whose limit allows a call now.
@@ -78,20 +96,57 @@
     return choice;
 }
 
-/// When a replica may take the request again, if it could be sent now but for the limits that replicas state.
-std::optional<Duration> ForwardLogic::limitRetryAfter(const Flow& flow, Instant now)
+/// The replicas that could take the request now but for the limits that they state.
+std::vector<ReplicaRun> ForwardLogic::replicasAtLimit(const Flow& flow, Instant now)
 {
-    if (m_limits.isEmpty())
-        return std::nullopt;
     std::vector<ReplicaRun> candidates;
+    if (m_limits.isEmpty())
+        return candidates;
     auto criteria = criteriaOf(flow);
     auto excluded = flow.tried;
     while (auto choice = m_replicas.choose(criteria, excluded, now)) {
         candidates.push_back(choice->run);
         excluded.insert(choice->run);
     }
-    auto delay = m_limits.retryAfter(candidates, now);
-    return delay ? std::optional(std::max(*delay, minLimitRetryAfter)) : std::nullopt;
+    return candidates;
+}
+
+/// A permit that is to be had arrives within a round trip to the controller. While requests of the service wait in vain, others are
+/// refused at once. \returns false if the request is not to wait.
+bool ForwardLogic::waitForPermit(Flow& flow, Instant now)
+{
+    if (flow.permitWaitUntil && *flow.permitWaitUntil <= now) {
+        m_permitsLackedAt[flow.service] = now;
+        return false;
+    }
+    if (!flow.permitWaitUntil) {
+        auto lackedAt = m_permitsLackedAt.find(flow.service);
+        bool isLacking = lackedAt != m_permitsLackedAt.end() && now - lackedAt->second < permitShortageMemory;
+        if (isLacking || !m_limits.permits().hasController(now))
+            return false;
+        flow.permitWaitUntil = std::min(now + maxPermitWait, flow.deadline);
+    }
+    m_awaitingPermits.emplace(rankOf(flow), flow.id);
+    m_wakes.erase({ flow.nextCheckAt, flow.id });
+    flow.nextCheckAt = *flow.permitWaitUntil;
+    m_wakes.insert({ flow.nextCheckAt, flow.id });
+    return true;
+}
+
+void ForwardLogic::retryAwaitingPermits(Instant now)
+{
+    for (const auto& [rank, id] : std::exchange(m_awaitingPermits, {})) {
+        if (auto it = m_flows.find(id); it != m_flows.end())
+            runOrFail(it->second, now);
+    }
+}
+
+void ForwardLogic::refuseAtLimit(Flow& flow, const std::string& reason, const std::vector<ReplicaRun>& atLimit, Instant now)
+{
+    auto delay = m_limits.retryAfter(atLimit, now);
+    if (delay)
+        delay = std::max(*delay, minLimitRetryAfter);
+    refuseUntil(flow, ResultCode::Overloaded, reason, delay, now);
 }
 
 } // namespace wrenhinge
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -46,7 +46,7 @@
     , m_replicas(m_settings.zone, m_settings.seed, m_settings.name)
     , m_budget(m_settings.budget)
     , m_quotas(m_settings.quotas, m_settings.name)
-    , m_limits(m_settings.name, m_settings.seed)
+    , m_limits(m_settings.seed)
     , m_random(m_settings.seed)
 {
 }
@@ -65,7 +65,7 @@
 Instant ForwardLogic::nextWake() const
 {
     auto next = std::min({ m_queue.nextExpiry(), m_retryAdmissionAt, m_loadReportAt, m_registryFollower.nextWake(), m_quotas.nextReport(),
-        m_limits.nextReport() });
+        m_limits.nextPermitRequest() });
     if (m_table && !m_awaitingDocument.empty())
         next = std::min(next, m_firstDocumentAt + unconfirmedDocumentDelay);
     return m_wakes.empty() ? next : std::min(next, m_wakes.begin()->first);
@@ -151,7 +151,7 @@
     m_replicas.noteControllerContact(now);
     m_budget.setGateways(event.gateways, now);
     m_quotas.setGateways(m_budget.gateways());
-    m_limits.counts().setGateways(m_budget.gateways());
+    m_limits.permits().setGateways(m_budget.gateways(), now);
     m_replicas.registry().renew(event, now);
     m_replicas.registry().removeExpired(now);
     m_replicas.forgetEnded();
@@ -310,8 +310,11 @@
         return refuseAsCrashing(flow, now);
     if (send(flow, now))
         return;
-    if (auto delay = limitRetryAfter(flow, now))
-        return refuseUntil(flow, ResultCode::Overloaded, "the request rate limits of the service's replicas are used up", delay, now);
+    if (auto atLimit = replicasAtLimit(flow, now); !atLimit.empty()) {
+        if (!waitForPermit(flow, now))
+            refuseAtLimit(flow, "the request rate limits of the service's replicas are used up", atLimit, now);
+        return;
+    }
     auto criteria = criteriaOf(flow);
     if (m_replicas.hasReady(criteria.service, criteria.kind))
         refuse(flow, ResultCode::Overloaded, "no replica of the service can take another call", now);
@@ -527,7 +530,7 @@
     refuseExpired(now);
     reportLoad(now);
     reportQuotaUsage(now);
-    reportReplicaUsage(now);
+    requestPermits(now);
     if (m_retryAdmissionAt <= now) {
         m_retryAdmissionAt = Instant::max();
         m_shouldAdmit = true;
@@ -551,6 +554,8 @@
 /// The current call makes no progress: continues at another replica if the route and the budget allow it, else waits for its end.
 void ForwardLogic::checkProgress(Flow& flow, Instant now)
 {
+    if (m_awaitingPermits.erase({ rankOf(flow), flow.id }))
+        return runOrFail(flow, now);
     if (flow.isCalling && flow.stage == Flow::Stage::Reserving) {
         m_effects.push_back(CancelCall { flow.id, flow.attempt });
         endSidecarReservation(flow, false);
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -119,7 +119,7 @@
     void on(const forward::CrashesReported&, Instant);
     void on(const forward::QuotaTotalsReceived&, Instant);
     void on(const forward::ReplicaLimitsReceived&, Instant);
-    void on(const forward::ReplicaUsageTotalsReceived&, Instant);
+    void on(const forward::PermitsReceived&, Instant);
     void on(const forward::Stop&, Instant);
     void on(const forward::Tick&, Instant);
 
@@ -146,9 +146,12 @@
     // Request rate limits that replicas state (ForwardLimits.cpp).
     void observeLimit(const ReplicaRun&, const StatedRateLimit&, Instant calledAt, Instant);
     void logLimit(const ReplicaRateLimit&, const std::string& source);
-    void reportReplicaUsage(Instant);
+    void requestPermits(Instant);
     std::optional<ReplicaTable::Choice> choose(const Flow&, const ReplicaTable::Criteria&, const std::set<ReplicaRun>& tried, Instant);
-    std::optional<Duration> limitRetryAfter(const Flow&, Instant);
+    std::vector<ReplicaRun> replicasAtLimit(const Flow&, Instant);
+    bool waitForPermit(Flow&, Instant);
+    void retryAwaitingPermits(Instant);
+    void refuseAtLimit(Flow&, const std::string& reason, const std::vector<ReplicaRun>& atLimit, Instant);
     Flow* current(const RequestId&, Attempt);
     bool send(Flow&, Instant);
     void startCall(Flow&, const ReplicaTable::Choice&, Instant);
@@ -220,6 +223,8 @@
     SharedRetryBudget m_budget;
     AccountQuotas m_quotas;
     ReplicaLimits m_limits;
+    std::set<std::pair<std::uint32_t, RequestId>> m_awaitingPermits; ///< By rank; some may have ended meanwhile.
+    std::map<std::string, Instant> m_permitsLackedAt; ///< By service: when a request last waited for a permit in vain.
     std::uint64_t m_refusedKeys = 0;
     std::mt19937_64 m_random;
     std::shared_ptr<const RouteTable> m_table;
--- a/test/correctness/DoorTest.cpp
+++ b/test/correctness/DoorTest.cpp
@@ -178,6 +178,10 @@
     CHECK(names(ReplicaRateLimits { { { "i-1", {}, NAN, 1 } } }, "perSecond"));
     CHECK(names(ReplicaRateLimits { { { "a b", {}, 1.0, 1 } } }, "id"));
     CHECK(names(ReplicaUsageReport { { { { AccountId(7), INFINITY, 0, false, 0 } }, true, false, {} } }, "uses"));
+    CHECK(names(ReplicaUsageReport { {}, { 0, 0, 1.5, {} } }, "lentShare"));
+    CHECK(names(ReplicaUsageReport { {}, { 0, 0, NAN, {} } }, "lentShare"));
+    CHECK(names(ReplicaUsageReport { {}, { 0, 0, 1, { { LimitId(7), INFINITY, 0, 1, 1 } } } }, "demands"));
+    CHECK(names(ReplicaUsageReport { {}, { 0, 0, 1, { { LimitId(7), 0, -1, 1, 1 } } } }, "demands"));
     CHECK(names(ReplicaUsageTotals { { { { AccountId(7), INFINITY, 0, 0, true } }, true, {} } }, "totals"));
     CHECK(names(ControllerRoster { { "nowhere" } }, "addresses"));
     CHECK(readable("a\n\xff" + std::string(100, 'x'), 10) == "a??xxxx...");
--- a/test/correctness/ReplicaLimitTest.cpp
+++ b/test/correctness/ReplicaLimitTest.cpp
@@ -257,7 +257,7 @@
 
     bench.post(RegistryHeartbeatReceived { PeerId(50), { {}, 1 } });
     bench.wait(1s);
-    CHECK(bench.effects<ReportReplicaUsage>().size() == 1);
+    CHECK(bench.effects<RequestPermits>().size() == 1);
 }
 
 TEST_CASE("a replica that restarts under its id has no limit")
@@ -271,10 +271,10 @@
 
 TEST_CASE("after a request was refused for want of a permit, less urgent ones wait for it")
 {
-    ReplicaLimits limits("gateway", 1);
+    ReplicaLimits limits(1);
     auto t = bench::start;
     limits.take({ { "a", {}, 0.5, 1 } }, t);
-    limits.counts().setGateways(1);
+    limits.permits().setGateways(1, t);
     int urgent = 0;
     int others = 0;
     for (int i = 0; i < 2000; ++i, t += 20ms) {
@@ -291,10 +291,10 @@
 
 TEST_CASE("a permit is for one call, and asking twice takes nothing twice")
 {
-    ReplicaLimits limits("gateway", 1);
+    ReplicaLimits limits(1);
     auto t = bench::start;
     limits.take({ { "a", {}, 1.0, 1 } }, t);
-    limits.counts().setGateways(1);
+    limits.permits().setGateways(1, t);
     while (!limits.mayCall(replicaA, 1, t))
         t += 20ms;
     auto before = limits.usage(replicaA, t)->remaining;
@@ -305,6 +305,76 @@
     CHECK(limits.usage(replicaA, t)->remaining == doctest::Approx(before - 1));
 }
 
+namespace {
+
+constexpr PeerId controller { 50 };
+
+/// A gateway with one replica, which has a limit, and with a controller that issues its permits.
+struct LimitedService {
+    LimitedService()
+    {
+        bench.serve().replica("a");
+        bench.post(ReplicaLimitsReceived { { { "a", {}, 0.25, 1 } } });
+        bench.post(RegistryHeartbeatReceived { controller, { {}, 1 } });
+        grant(0);
+    }
+    /// Answers the gateway's next request for permits.
+    void grant(std::uint32_t count)
+    {
+        bench.wait(PermitClient::promptRequestDelay);
+        auto sentAt = bench.only<RequestPermits>().request.sentAt;
+        bench.post(PermitsReceived { controller, { ++grants, sentAt, { { limitId(replicaA), count } } } });
+    }
+    Bench bench;
+    std::int64_t grants = 0;
+};
+
+} // namespace
+
+TEST_CASE("a request waits for a permit that is to be had instead of being refused")
+{
+    LimitedService service;
+    auto id = service.bench.submit("/often/x");
+    CHECK(service.bench.effects<Refuse>().empty());
+    CHECK(service.bench.effects<Send>().empty());
+    service.grant(1);
+    CHECK((service.bench.only<Send>().id == id));
+}
+
+TEST_CASE("of the requests that wait for a permit the most urgent one goes first")
+{
+    LimitedService service;
+    auto ranked = document(2);
+    ranked.routes[0].rank = 1;
+    ranked.routes[1].rank = 5;
+    service.bench.post(DocumentReceived { ranked, true });
+    service.bench.submit("/often/x");
+    auto urgent = service.bench.submit("/once/x");
+    service.grant(1);
+    CHECK((service.bench.only<Send>().id == urgent));
+}
+
+TEST_CASE("a request that waits for a permit in vain is refused soon, and those after it at once")
+{
+    LimitedService service;
+    service.bench.submit("/often/x");
+    service.bench.wait(250ms);
+    CHECK(service.bench.only<Refuse>().error.retryAfter);
+    service.bench.submit("/often/x");
+    CHECK(service.bench.only<Refuse>().error.retryAfter);
+}
+
+TEST_CASE("a caller that leaves while its request waits for a permit uses none")
+{
+    LimitedService service;
+    auto id = service.bench.submit("/often/x");
+    service.bench.post(CallerDisconnected { id });
+    service.grant(1);
+    CHECK(service.bench.effects<Send>().empty());
+    service.bench.submit("/often/x");
+    CHECK(service.bench.effects<Send>().size() == 1);
+}
+
 // --- At a sidecar -----------------------------------------------------------------------------------------------
 
 TEST_CASE("a sidecar lets one call through for each that the limit allows, and says how long further ones wait")
--- a/test/fuzz/FuzzTest.cpp
+++ b/test/fuzz/FuzzTest.cpp
@@ -266,8 +266,8 @@
         QuotaReport { { { AccountId(7), 3300, 47000, true } }, true, true },
         QuotaTotals { { { AccountId(7), 3300, 5000, 0, true } }, true },
         ReplicaRateLimits { { { "i-1", {}, 1.5, 1 }, { "i-2", {}, {}, 2 } } },
-        ReplicaUsageReport { { { { AccountId(7), 1, 1.5, true } }, true, true } },
-        ReplicaUsageTotals { { { { AccountId(7), 1, 1, 0, true } }, true } } };
+        ReplicaUsageReport { { { { AccountId(7), 1, 1.5, true } }, true, true }, { 12, 10, 0.1, { { LimitId(7), 1, 0, 2, 3 } } } },
+        ReplicaUsageTotals { { { { AccountId(7), 1, 1, 0, true } }, true }, { 20, 12, { { LimitId(7), 2 } } } } };
     std::vector<std::string> bytes;
     for (const auto& sample : list)
         bytes.push_back(encode(sample));
--- a/test/support/QuotaFleet.h
+++ b/test/support/QuotaFleet.h
@@ -3,8 +3,7 @@
  */
 #pragma once
 
-#include "request/fleet/AccountQuotas.h"
-#include "request/fleet/QuotaAggregator.h"
+#include "LimitSharing.h"
 
 #include <algorithm>
 #include <deque>
@@ -23,22 +22,19 @@
     QuotaRule rule;
     QuotaSettings tolerance;
     double amount = 0; ///< Of each request.
+    bool isReplica = false;
 };
 inline const Limit accountLimit { rule, tolerance, 3300 };
 
 /// A limit as a replica states it: requests per second.
-inline Limit replicaLimit(double perSecond)
-{
-    QuotaSettings settings { 4s, 0.5, 5, 400ms };
-    return { { QuotaRule::Unit::Requests, perSecond, 2 * perSecond * toSeconds(settings.smoothing), 0 }, settings, 1 };
-}
+inline Limit replicaLimit(double perSecond) { return { { QuotaRule::Unit::Requests, perSecond, 0, 0 }, { 4s, 0.5, 5 }, 1, true }; }
 
 /// Simulates gateways and controllers with one limit, in time steps.
 class Fleet {
 public:
     explicit Fleet(int gateways, int controllers = 3, Limit limit = accountLimit)
         : m_limit(std::move(limit))
-        , m_controllers(controllers)
+        , m_sharing(makeSharing(gateways, controllers))
         , m_isUnreachable(controllers)
     {
         for (int i = 0; i < gateways; ++i) {
@@ -57,10 +53,7 @@
         auto& one = m_gateways[gateway];
         if (one.isFrozen)
             return true;
-        if (m_limit.tolerance.smoothing > Duration::zero())
-            m_lastVerdict = { one.quotas->tryAdmit("desk", amount, now), {} };
-        else
-            m_lastVerdict = one.quotas->admit("desk", amount, now);
+        m_lastVerdict = m_sharing->admit(gateway, amount, now);
         if (m_lastVerdict.isAdmitted)
             m_runs.emplace_back(now, amount);
         else
@@ -94,32 +87,28 @@
     /// the controllers before.
     void partition(std::size_t first, std::size_t firstController)
     {
-        for (std::size_t c = 0; c < m_controllers.size(); ++c) {
+        for (std::size_t c = 0; c < m_isUnreachable.size(); ++c) {
             m_isUnreachable[c].clear();
             for (std::size_t g = 0; g < m_gateways.size(); ++g)
                 m_isUnreachable[c].push_back((g >= first) != (c >= firstController));
         }
     }
-    void heal() { m_isUnreachable.assign(m_controllers.size(), {}); }
+    void heal() { m_isUnreachable.assign(m_isUnreachable.size(), {}); }
     void freeze(std::size_t gateway, bool isFrozen) { m_gateways[gateway].isFrozen = isFrozen; }
     void restartGateway(std::size_t gateway)
     {
-        for (auto& controller : m_controllers)
-            controller.disconnected(m_gateways[gateway].id, now);
+        m_sharing->disconnect(m_gateways[gateway].id, now);
         startGateway(m_gateways[gateway], static_cast<int>(gateway));
     }
     void restartController(std::size_t c)
     {
-        m_controllers[c] = {};
-        for (auto& gateway : m_gateways) {
-            gateway.quotas->disconnected(PeerId(500 + c));
+        m_sharing->startController(c, m_limit.rule, now);
+        for (auto& gateway : m_gateways)
             gateway.connected[c] = false;
-        }
     }
     void setRule(const QuotaRule& changed)
     {
-        for (auto& gateway : m_gateways)
-            gateway.quotas->setRules({ { "desk", changed } }, now);
+        m_sharing->setRule(changed, now);
         m_limit.rule = changed;
     }
 
@@ -139,10 +128,8 @@
     }
     [[nodiscard]] double bound() const
     {
-        const auto& [quota, settings, amount] = m_limit;
-        // A replica states no burst; what its bucket holds is this project's choice.
-        auto burst = settings.smoothing > Duration::zero() ? 0 : quota.burst;
-        return (quota.perSecond * toSeconds(settings.window) + burst) * (1 + settings.excess) + settings.slack;
+        const auto& [quota, settings, amount, isReplica] = m_limit;
+        return (quota.perSecond * toSeconds(settings.window) + quota.burst) * (1 + settings.excess) + settings.slack;
     }
     [[nodiscard]] double admittedSince(Instant from) const
     {
@@ -159,7 +146,6 @@
 private:
     struct Gateway {
         PeerId id;
-        std::unique_ptr<AccountQuotas> quotas;
         std::vector<bool> connected;
         bool isFrozen = false;
     };
@@ -167,74 +153,65 @@
     void startGateway(Gateway& gateway, int i)
     {
         gateway.id = PeerId(++m_lastId);
-        gateway.quotas = std::make_unique<AccountQuotas>(m_limit.tolerance, "gateway-" + std::to_string(i), m_lastId);
-        gateway.quotas->setRules({ { "desk", m_limit.rule } }, now);
-        gateway.connected.assign(m_controllers.size(), false);
+        m_sharing->startGateway(static_cast<std::size_t>(i), gateway.id, m_limit.rule, now);
+        gateway.connected.assign(m_isUnreachable.size(), false);
+    }
+
+    [[nodiscard]] std::unique_ptr<LimitSharing> makeSharing(int gateways, int controllers) const
+    {
+        if (m_limit.isReplica)
+            return std::make_unique<PermitSharing>(gateways, controllers, m_limit.rule);
+        return std::make_unique<CountSharing>(gateways, controllers, m_limit.tolerance);
     }
 
     [[nodiscard]] bool reaches(std::size_t g, std::size_t c) const { return m_isUnreachable[c].empty() || !m_isUnreachable[c][g]; }
 
-    /// Simulates one step: connections are made, reports and totals are delivered, and heartbeats once a second.
+    /// Simulates one step: connections are made, reports and grants are delivered, and heartbeats once a second.
     void exchange()
     {
         for (std::size_t g = 0; g < m_gateways.size(); ++g) {
             auto& gateway = m_gateways[g];
-            for (std::size_t c = 0; c < m_controllers.size(); ++c) {
+            for (std::size_t c = 0; c < m_isUnreachable.size(); ++c) {
                 if (!gateway.connected[c] && reaches(g, c)) {
-                    m_controllers[c].connected(gateway.id, "gateway-" + std::to_string(g));
+                    m_sharing->connect(g, gateway.id, c);
                     gateway.connected[c] = true;
-                    deliverHeartbeat(gateway, c);
+                    deliverHeartbeat(g, c);
                 }
                 bool isHeartbeat = (now - start) % 1s == Duration::zero();
                 if (isHeartbeat && reaches(g, c))
-                    deliverHeartbeat(gateway, c);
+                    deliverHeartbeat(g, c);
             }
-            if (gateway.isFrozen)
-                continue;
-            if (auto report = gateway.quotas->report(now))
-                deliverReport(g, *report);
+            if (!gateway.isFrozen)
+                messages += m_sharing->report(
+                    g, gateway.id, [this, g](std::size_t c) { return reaches(g, c); }, now);
         }
         if ((now - start) % quota::broadcastInterval != Duration::zero())
             return;
-        for (std::size_t c = 0; c < m_controllers.size(); ++c) {
-            for (const auto& [peer, totals] : m_controllers[c].totalsToSend(now))
-                deliverTotals(c, peer, totals);
+        for (std::size_t c = 0; c < m_isUnreachable.size(); ++c) {
+            auto find = [this, c](PeerId peer) { return findReachable(peer, c); };
+            messages += m_sharing->broadcast(c, find, now);
         }
     }
 
-    void deliverHeartbeat(Gateway& gateway, std::size_t c)
+    void deliverHeartbeat(std::size_t g, std::size_t c)
     {
-        if (gateway.isFrozen)
-            return;
-        gateway.quotas->setGateways(static_cast<std::uint32_t>(m_gateways.size()));
-        gateway.quotas->noteContact(PeerId(500 + c), now);
-    }
-
-    void deliverReport(std::size_t g, const AccountQuotas::Report& report)
-    {
-        for (std::size_t c = 0; c < m_controllers.size(); ++c) {
-            if (!reaches(g, c))
-                continue;
-            ++messages;
-            m_controllers[c].take(
-                m_gateways[g].id, { report.uses, report.totalsSource == PeerId(500 + c), report.asksForAll, report.knownGateways }, now);
-        }
+        if (!m_gateways[g].isFrozen)
+            m_sharing->heartbeat(g, c, m_gateways.size(), now);
     }
 
-    void deliverTotals(std::size_t c, PeerId peer, const QuotaTotals& totals)
+    /// The gateway that runs with this id, if it can receive a message of this controller.
+    [[nodiscard]] std::optional<std::size_t> findReachable(PeerId peer, std::size_t c) const
     {
         for (std::size_t g = 0; g < m_gateways.size(); ++g) {
-            auto& gateway = m_gateways[g];
-            if (gateway.id != peer || !reaches(g, c) || gateway.isFrozen)
-                continue;
-            ++messages;
-            gateway.quotas->take(PeerId(500 + c), totals, now);
+            if (m_gateways[g].id == peer && reaches(g, c) && !m_gateways[g].isFrozen)
+                return g;
         }
+        return std::nullopt;
     }
 
     Limit m_limit;
     std::deque<Gateway> m_gateways;
-    std::vector<QuotaAggregator> m_controllers;
+    std::unique_ptr<LimitSharing> m_sharing;
     std::vector<std::vector<bool>> m_isUnreachable; ///< By controller and gateway; empty if the controller is not partitioned.
     std::vector<std::pair<Instant, double>> m_runs;
     AccountQuota::Verdict m_lastVerdict;
