Hold account quotas beside cuts and restarts: even shares, and no bucket for who knows nothing

Change: without a recent total a gateway spends its share and its part of a quarter of the tolerance, then waits for the total (Retry-After 250 ms at most); shares are even on both sides, so that neither computes the other's; a gateway is missed after 0.8 s.

--- a/src/request/fleet/AccountQuota.cpp
+++ b/src/request/fleet/AccountQuota.cpp
@@ -4,19 +4,6 @@
 
 namespace wrenhinge {
 
-namespace quota {
-
-    double isolatedShare(double limit, double reserved, double own, double all, std::uint32_t gateways)
-    {
-        if (gateways <= 1)
-            return limit;
-        auto shared = std::max(0.0, limit - reserved);
-        auto byUse = std::min(shared, all > 0 ? shared * own / all : own / busyFraction);
-        return usageWeight * byUse + (1 - usageWeight) * limit / gateways;
-    }
-
-} // namespace quota
-
 AccountQuota::AccountQuota(const QuotaRule& rule, const QuotaSettings& settings, Instant now)
     : m_rule(rule)
     , m_settings(settings)
@@ -41,19 +28,11 @@
     m_level = std::min(depth(), m_level + std::max(0.0, depth() - former));
 }
 
-/// What this gateway may use per second without knowing the usage of the others.
-double AccountQuota::share(Instant now) const
-{
-    auto own = m_ownRate.perSecond(now);
-    return quota::isolatedShare(m_rule.perSecond, m_reservedPerSecond, own, m_isBusy ? own + m_othersPerSecond : 0, m_gateways);
-}
-
 AccountQuota::Allowance AccountQuota::allowance(Instant now) const
 {
     auto limit = m_rule.perSecond;
     auto spare = unreservedFraction * tolerance() / toSeconds(m_settings.window);
-    auto isolatedShare = m_isolatedShare.value_or(share(now));
-    auto perSecond = isIsolated(now) ? isolatedShare : limit - std::max(0.0, m_reservedPerSecond - spare);
+    auto perSecond = isIsolated(now) ? share() : limit - std::max(0.0, m_reservedPerSecond - spare);
     return { perSecond, depth() * perSecond / limit };
 }
 
@@ -62,24 +41,19 @@
 {
     if (!isLimited())
         return;
-    if (isIsolated(now))
-        enterIsolation(now);
-    else
-        m_isolatedShare.reset();
     auto allowed = allowance(now);
     auto elapsed = toSeconds(std::max(Duration::zero(), now - m_filledAt));
     auto others = !isIsolated(now) && m_isBusy ? m_othersPerSecond : 0;
     m_level = std::min(allowed.depth, m_level + (allowed.perSecond - others) * elapsed);
-    auto ownShare = share(now);
-    m_shareLevel = std::min(depth() * ownShare / m_rule.perSecond, m_shareLevel + ownShare * elapsed);
+    m_shareLevel = std::min(shareDepth(), m_shareLevel + share() * elapsed);
     m_filledAt = std::max(m_filledAt, now);
 }
 
-/// Fixes the share at the start of isolation. If it followed the gateway's own usage it would grow, and with it the sum over all gateways.
-void AccountQuota::enterIsolation(Instant now)
+/// The share bounds only what this gateway uses without knowing the usage of the others, so it starts again with each total.
+void AccountQuota::refillShare()
 {
-    if (!m_isolatedShare)
-        m_isolatedShare = share(now);
+    m_shareLevel = std::max(m_shareLevel, shareDepth());
+    m_exceedsShare = false;
 }
 
 AccountQuota::Verdict AccountQuota::admit(double amount, Instant now)
@@ -89,7 +63,7 @@
         // A request may be larger than the bucket, or than this gateway's share of it. It is admitted when the bucket is full, and later
         // requests wait until the debt is filled up.
         auto needed = isIsolated(now) ? 0 : std::min(amount, allowance(now).depth);
-        if (m_level < needed || m_level <= 0)
+        if (m_level < needed || m_level <= 0 || mustAwaitTotal(now))
             return { false, recordRefusal(amount, now) };
         recordUsage(amount, now);
     }
@@ -110,10 +84,20 @@
     m_shareLevel -= amount;
     m_unreported += amount;
     m_ownRate.add(amount, now);
-    m_exceedsShare = m_shareLevel < -maxOverdraftFraction * tolerance() / m_gateways;
-    bool hasRecentTotal = now - m_lastTotalAt <= totalTimeout;
-    if (m_exceedsShare && !hasRecentTotal && !m_requestedAt)
+    m_exceedsShare = m_shareLevel < -maxOverdraft();
+    if (m_exceedsShare && !hasRecentTotal(now) && !m_requestedAt)
+        m_requestedAt = now;
+}
+
+/// Whether this gateway has used so much beyond its share that it has to know the usage of the others first. Otherwise, after a pause, each
+/// gateway would use the whole bucket before it hears of the others.
+bool AccountQuota::mustAwaitTotal(Instant now)
+{
+    if (isIsolated(now) || hasRecentTotal(now) || m_shareLevel > -maxOverdraft())
+        return false;
+    if (!m_requestedAt)
         m_requestedAt = now;
+    return true;
 }
 
 Duration AccountQuota::recordRefusal(double amount, Instant now)
@@ -121,7 +105,10 @@
     ++m_refused;
     auto delay = timeUntil(amount, now);
     m_retryDemand += amount;
-    return m_isNew && m_hasContact ? std::min(delay, firstTotalDelay) : delay;
+    bool isTotalDue = m_hasContact && (m_isNew || m_requestedAt);
+    if (isTotalDue)
+        return delay > Duration::zero() ? std::min(delay, firstTotalDelay) : firstTotalDelay;
+    return delay;
 }
 
 void AccountQuota::decayRetryDemand(Instant now)
@@ -163,13 +150,16 @@
     m_lastTotalAt = now;
     m_requestedAt.reset();
     m_isNew = false;
-    m_isolatedShare.reset();
-    if (!m_isBusy)
+    if (!m_isBusy) {
         m_othersPerSecond = 0;
+        refillShare();
+    }
 }
 
-void AccountQuota::markNotBusy()
+void AccountQuota::markNotBusy(Instant now)
 {
+    m_knownCalmAt = now;
+    refillShare();
     m_isNew = false;
     m_isBusy = false;
     m_othersPerSecond = 0;
--- a/src/request/fleet/AccountQuota.h
+++ b/src/request/fleet/AccountQuota.h
@@ -7,9 +7,9 @@
  * exceed the rate only by what has not been reported yet.
  *
  * Between two broadcasts the other gateways are assumed to continue at their last known rate. A gateway that receives no broadcasts
- * (network partition, frozen process, own start) is isolated and admits only its share of the rate, computed from the last known usage. The
- * shares of all gateways add up to the rate, and the controllers on the other side of a partition reserve the same share
- * (QuotaAggregator). A gateway may use up to its share without knowing the usage of the others; beyond that it requests their total.
+ * (network partition, frozen process, own start) is isolated and admits only an even share of the rate, which the controllers on the other
+ * side of a partition reserve for it (QuotaAggregator). A gateway may use its share, and some more, without knowing the usage of the
+ * others; beyond that it waits for their total.
  */
 #pragma once
 
@@ -34,21 +34,12 @@
     inline constexpr double busyFraction = 0.7;
     /// Interval between two broadcasts of the usage of busy accounts.
     inline constexpr Duration broadcastInterval = 100ms;
-    /// Time constant of the average usage from which the share of an isolated gateway is computed.
+    /// Time constant of the average usage.
     inline constexpr Duration usageTimeConstant = 4s;
 
-    /// The fraction of a limit that is divided among gateways in proportion to their usage. The rest is divided evenly, since callers move
-    /// to other gateways when theirs fails.
-    inline constexpr double usageWeight = 0.75;
-
-    /// The share of a limit that an isolated gateway may use, and that the controllers reserve for it, per second. Part of it is
-    /// proportional to the gateway's usage, the rest is the same for all gateways. The shares of all gateways add up to the limit.
-    ///
-    /// \param reserved already reserved per second for gateways whose usage is not in `all`. Without it, gateways that are isolated one
-    /// after the other would divide the whole limit again each time.
-    /// \param own usage of this gateway per second.
-    /// \param all usage of all gateways per second; zero: not known here, and less than `busyFraction` of the limit.
-    double isolatedShare(double limit, double reserved, double own, double all, std::uint32_t gateways);
+    /// The share of a limit that an isolated gateway may use, and that the controllers reserve for it. It depends on nothing that the two
+    /// could see differently: shares by usage, each fixed at another moment of a burst, added up to twice the limit.
+    inline double isolatedShare(double limit, std::uint32_t gateways) { return limit / std::max(1u, gateways); }
 
 } // namespace quota
 
@@ -72,7 +63,7 @@
     /// Applies the usage of all other gateways, as broadcast by a controller.
     void take(const AccountTotal&, Instant now);
     /// A controller has broadcast all busy accounts, and this one is not among them.
-    void markNotBusy();
+    void markNotBusy(Instant now);
     /// \param hasContact whether heartbeats from some controller arrive.
     /// \param gateways that share the limit.
     void setContact(bool hasContact, std::uint32_t gateways, Instant now);
@@ -127,9 +118,8 @@
     /// The fraction of the slack that a new bucket holds. It is small because a gateway that has just started does not know what was used
     /// before.
     static constexpr double initialFillFraction = 1.0 / 32;
-    /// The fraction of the tolerance that all gateways together may use beyond their shares before they request the usage of the others:
-    /// about one request per gateway.
-    static constexpr double maxOverdraftFraction = 0.1;
+    /// The fraction of the tolerance that all gateways together may use beyond their shares before they know the usage of the others.
+    static constexpr double maxOverdraftFraction = 0.25;
     /// Reservations up to this fraction of the tolerance don't reduce the limit: the tolerance covers what unreachable gateways use for a
     /// short time.
     static constexpr double unreservedFraction = 1.0 / 64;
@@ -140,9 +130,14 @@
         double perSecond = 0;
         double depth = 0;
     };
+    /// Whether the usage of the others was known lately.
+    [[nodiscard]] bool hasRecentTotal(Instant now) const { return now - std::max(m_lastTotalAt, m_knownCalmAt) <= totalTimeout; }
+    bool mustAwaitTotal(Instant now);
     [[nodiscard]] double tolerance() const;
     [[nodiscard]] double depth() const;
-    [[nodiscard]] double share(Instant now) const;
+    [[nodiscard]] double shareDepth() const { return depth() / m_gateways; }
+    [[nodiscard]] double maxOverdraft() const { return maxOverdraftFraction * tolerance() / m_gateways; }
+    [[nodiscard]] double share() const { return quota::isolatedShare(m_rule.perSecond, m_gateways); }
     void recordUsage(double amount, Instant now);
     [[nodiscard]] double usageFraction(Instant now) const;
     [[nodiscard]] Duration recordRefusal(double amount, Instant now);
@@ -151,7 +146,7 @@
     [[nodiscard]] bool isIsolated(Instant now) const { return !m_hasContact || m_isNew || isTotalOverdue(now); }
     [[nodiscard]] Allowance allowance(Instant now) const;
     void fill(Instant now);
-    void enterIsolation(Instant now);
+    void refillShare();
 
     QuotaRule m_rule;
     QuotaSettings m_settings;
@@ -162,12 +157,12 @@
     Instant m_filledAt;
     double m_unreported = 0;
     DecayingRate m_ownRate { quota::usageTimeConstant };
-    std::optional<double> m_isolatedShare; ///< Set while isolated: what this gateway may use per second.
     double m_shareLevel = 0; ///< What this gateway may use at once without knowing the usage of the others.
     bool m_exceedsShare = false;
     std::optional<Instant> m_requestedAt; ///< Set while a requested total has not arrived.
     // As last broadcast.
     Instant m_lastTotalAt;
+    Instant m_knownCalmAt; ///< When a controller last broadcast that the account is not busy.
     bool m_isBusy = false;
     double m_othersPerSecond = 0;
     double m_reservedPerSecond = 0;
--- a/src/request/fleet/AccountQuotas.cpp
+++ b/src/request/fleet/AccountQuotas.cpp
@@ -86,7 +86,7 @@
         for (auto& [name, quota] : m_accounts) {
             quota.setContact(true, m_gateways, now);
             if (!received.contains(accountId(name)))
-                quota.markNotBusy();
+                quota.markNotBusy(now);
         }
     }
     for (const auto& total : totals.totals) {
--- a/src/request/fleet/QuotaAggregator.cpp
+++ b/src/request/fleet/QuotaAggregator.cpp
@@ -22,24 +22,7 @@
     if (auto unreachable = m_unreachableGateways.find(former.name); unreachable != m_unreachableGateways.end())
         unreachable->second.isConnected = false;
     else if (!isReplaced)
-        markUnreachable(former, false, now);
-}
-
-void QuotaAggregator::markUnreachable(const Gateway& gateway, bool isConnected, Instant now)
-{
-    auto n = gatewayCount() + (isConnected ? 0 : 1);
-    auto snapshotsAgo = std::min<std::size_t>((now - gateway.lastHeardAt) / snapshotInterval, Account().snapshots.size() - 1);
-    UnreachableGateway unreachable { now, isConnected, {} };
-    for (const auto& [id, account] : m_accounts) {
-        auto usage = gateway.usages.find(id);
-        auto own = usage != gateway.usages.end() ? usage->second.rate.perSecond(gateway.lastHeardAt) : 0;
-        auto [rate, reserved] = account.snapshots[snapshotsAgo];
-        auto all = std::max(own, rate);
-        // Without this, the gateway of the first request after a pause would have almost the whole usage-weighted part of the limit.
-        bool isIdle = all < idleFraction * account.limit;
-        unreachable.reservations[id] = isIdle ? account.limit / n : quota::isolatedShare(account.limit, reserved, own, all, n);
-    }
-    m_unreachableGateways[gateway.name] = std::move(unreachable);
+        m_unreachableGateways[former.name] = { now, false };
 }
 
 std::uint32_t QuotaAggregator::gatewayCount() const
@@ -101,11 +84,8 @@
         return;
     m_snapshotAt = now;
     ++m_snapshotNumber;
-    for (auto& [id, account] : m_accounts) {
+    for (auto& [id, account] : m_accounts)
         account.totalAtSnapshot = account.total;
-        std::shift_right(account.snapshots.begin(), account.snapshots.end(), 1);
-        account.snapshots.front() = { account.rate.perSecond(now), reserved(id, account, now) };
-    }
 }
 
 /// A connection may stay open while nothing arrives on it.
@@ -114,20 +94,17 @@
     for (const auto& [id, gateway] : m_gateways) {
         bool isSilent = gateway.lastHeardAt != Instant() && now - gateway.lastHeardAt > silentAfter;
         if (isSilent && !m_unreachableGateways.contains(gateway.name))
-            markUnreachable(gateway, true, now);
+            m_unreachableGateways[gateway.name] = { now, true };
     }
     std::erase_if(m_unreachableGateways, [now](const auto& item) { return now - item.second.at > reservationPeriod; });
 }
 
-double QuotaAggregator::reserved(AccountId id, const Account& account, Instant now) const
+/// The part of each limit that is reserved for gateways without contact to this controller.
+double QuotaAggregator::reservedShare(Instant now) const
 {
-    double sum = m_inherited.perSecond(id, account.limit, gatewayCount(), now);
-    for (const auto& [name, unreachable] : m_unreachableGateways) {
-        // An account that was not known when the gateway became unreachable had no usage then.
-        auto it = unreachable.reservations.find(id);
-        sum += it != unreachable.reservations.end() ? it->second : account.limit / gatewayCount();
-    }
-    return std::min(sum, account.limit);
+    auto n = gatewayCount();
+    auto unreachable = n ? static_cast<double>(m_unreachableGateways.size()) / n : 0;
+    return std::min(1.0, unreachable + m_inherited.share(n, now));
 }
 
 std::vector<std::pair<PeerId, QuotaTotals>> QuotaAggregator::totalsToSend(Instant now)
@@ -150,8 +127,9 @@
 void QuotaAggregator::updateBusyState(Instant now)
 {
     m_broadcastAccounts.clear();
+    auto share = reservedShare(now);
     for (auto& [id, account] : m_accounts) {
-        account.reserved = reserved(id, account, now);
+        account.reserved = account.limit * share;
         if (account.limit > 0 && account.recent.perSecond(now) + account.reserved > quota::busyFraction * account.limit)
             account.busyUntil = now + busyHoldTime;
         using BusyState = Account::BusyState;
@@ -163,7 +141,7 @@
 }
 
 /// A controller that has just started does not know which accounts are busy, and sends nothing. If it reported that none is, gateways would
-/// discard the usage of the others, and those that are isolated next would compute too large a share.
+/// discard the usage of the others.
 bool QuotaAggregator::knowsBusyAccounts(Instant now) const { return m_startedAt && now - *m_startedAt >= warmUpPeriod; }
 
 QuotaTotals QuotaAggregator::totalsFor(Gateway& gateway, Instant now)
@@ -182,8 +160,7 @@
 AccountTotal QuotaAggregator::totalFor(AccountId id, const Account& account, Usage& usage, Instant now)
 {
     bool wasSentRecently = now - usage.sentAt <= 3 * quota::broadcastInterval;
-    // Soon after the start the averages are still too low. They are scaled up, since gateways that are isolated then would compute too
-    // large a share from too low a usage of the others.
+    // Soon after the start the averages are still too low. They are scaled up, since gateways deduct the usage of the others by them.
     auto convergence = account.rate.convergenceAfter(now - *m_startedAt);
     auto ownSinceSnapshot = usage.snapshot == m_snapshotNumber ? usage.used - usage.usedAtSnapshot : 0;
     auto others = wasSentRecently ? (account.total - usage.sentTotal) - (usage.used - usage.sentUsed)
--- a/src/request/fleet/QuotaAggregator.h
+++ b/src/request/fleet/QuotaAggregator.h
@@ -6,16 +6,15 @@
  * limits cost occasional reports from the gateways that their callers use, and no broadcasts, except to a gateway that requests a total
  * because it handles a large part of an account.
  *
- * A gateway that is no longer reachable may continue in isolation (AccountQuota). The share that it may use is broadcast as reserved until
- * it reports again, another run of it connects, or it has been unreachable for so long that it is assumed to have ended. A controller that
- * starts during a partition learns earlier reservations from its gateways (InheritedReserve).
+ * A gateway that is no longer reachable may continue in isolation (AccountQuota). Its share is broadcast as reserved until it reports
+ * again, another run of it connects, or it has been unreachable for so long that it is assumed to have ended. A controller that starts
+ * during a partition learns from its gateways how many are missing (InheritedReserve).
  */
 #pragma once
 
 #include "request/fleet/AccountQuota.h"
 #include "request/fleet/InheritedReserve.h"
 
-#include <array>
 #include <map>
 #include <optional>
 #include <set>
@@ -31,8 +30,9 @@
     /// A gateway that has been unreachable for this long is assumed to have ended. Partitions between regions last minutes, but exceeding
     /// the limit by the share of one among many gateways does less harm than withholding that share from all of them.
     static constexpr Duration reservationPeriod = 60s;
-    /// Gateways report at least twice a second; one from which two reports are missing is unreachable.
-    static constexpr Duration silentAfter = 1100ms;
+    /// Gateways report at least twice a second; one whose report is overdue is unreachable. Until then both it and the others use its
+    /// share.
+    static constexpr Duration silentAfter = 800ms;
 
     void connected(PeerId gateway, const std::string& name);
     void disconnected(PeerId gateway, Instant now);
@@ -50,8 +50,6 @@
     static constexpr Duration snapshotInterval = 250ms;
     /// Time constant of the average usage by which an account is busy or not.
     static constexpr Duration busyTimeConstant = 500ms;
-    /// If an account uses less than this fraction of its limit, all gateways have the same share.
-    static constexpr double idleFraction = 0.01;
     /// An account that was busy, or requested by a gateway, is broadcast for this long. Without it the state would change with every
     /// request.
     static constexpr Duration busyHoldTime = 1s;
@@ -60,13 +58,6 @@
         double total = 0;
         double totalAtSnapshot = 0;
         double limit = 0;
-        /// The rate of all gateways and the reservations at the last snapshots, newest first. When a gateway is found to be unreachable,
-        /// the snapshot from the time of its last report is used, since the others have continued without it since then.
-        struct Snapshot {
-            double rate = 0;
-            double reserved = 0;
-        };
-        std::array<Snapshot, 8> snapshots {};
         DecayingRate recent { busyTimeConstant };
         DecayingRate rate { quota::usageTimeConstant };
         double reserved = 0; ///< Computed once per broadcast, for all recipients.
@@ -92,17 +83,14 @@
         std::unordered_map<AccountId, Usage> usages;
         std::set<AccountId> requested; ///< Accounts that it may have requested within `busyHoldTime`.
     };
-    /// An unreachable gateway, and what it may use per second.
     struct UnreachableGateway {
         Instant at;
         bool isConnected = false; ///< Its connection is open, but nothing arrives.
-        std::unordered_map<AccountId, double> reservations;
     };
 
-    void markUnreachable(const Gateway&, bool isConnected, Instant now);
     void detectSilentGateways(Instant now);
     void takeSnapshot(Instant now);
-    [[nodiscard]] double reserved(AccountId, const Account&, Instant now) const;
+    [[nodiscard]] double reservedShare(Instant now) const;
     [[nodiscard]] std::uint32_t gatewayCount() const;
     [[nodiscard]] GatewayCounts knownGateways() const;
     void updateBusyState(Instant now);
--- a/test/correctness/QuotaTest.cpp
+++ b/test/correctness/QuotaTest.cpp
@@ -325,6 +325,25 @@
     CHECK(!gateway.quotas.accounts().at("desk").usage(later + 1s).isIsolated);
 }
 
+TEST_CASE("a gateway that has not heard lately what the others use spends no more than its part of the tolerance before it does")
+{
+    SingleGateway gateway;
+    constexpr Instant longAfter = later + 1s;
+    gateway.quotas.noteContact(PeerId(500), longAfter);
+    double admitted = 0;
+    auto verdict = gateway.quotas.admit("desk", 100, longAfter);
+    for (; verdict.isAdmitted; verdict = gateway.quotas.admit("desk", 100, longAfter))
+        admitted += 100;
+    CHECK(admitted * 33 <= bound(accountLimit) - rule.perSecond * 8);
+    CHECK(verdict.retryAfter > Duration::zero());
+    CHECK(verdict.retryAfter <= 250ms);
+    auto report = gateway.quotas.report(longAfter + 20ms);
+    REQUIRE(report);
+    CHECK(report->uses.front().asksForTotal);
+    gateway.quotas.take(PeerId(500), { { { accountId("desk"), 0, 0, 0, false } }, false, {} }, longAfter + 40ms);
+    CHECK(gateway.admit(3300, longAfter + 40ms));
+}
+
 TEST_CASE("under any failures, no window admits more than is allowed")
 {
     CHECK(rc::check("failures one after the other, under any load", [] {
--- a/test/model/quota.pml
+++ b/test/model/quota.pml
@@ -1,26 +1,23 @@
-/* The parts of one limit that gateways keep while they hear no controller, reduced to one controller, three gateways and whole numbers.
+/* The shares of one limit that gateways use while they hear no controller, reduced to one controller, three gateways and whole numbers.
  *
- * Gateways are cut off one by one. Each keeps a part of the limit, by whether it uses the account, out of what is not set aside yet;
- * the controller sets the same part aside when it misses the gateway. It may start again, and then knows only what the gateways
- * that it hears were told. Those that were cut off come back together.
+ * Gateways are cut off one by one. Each uses an even share of the limit, and the controller reserves the same share when it misses the gateway.
+ * It may start again, and then knows only what the gateways that it hears were told. Those that were cut off come back together.
  *
- * Left out: what is on its way (a cut that nobody has noticed, a telling that has not come), which the tolerance of the limit bears.
+ * Left out: what is on its way (a cut that nobody has noticed, a total that has not come), which the tolerance of the limit bears.
  *
- * Invariant: all that is allowed at a time, by parts and by the controller, is the limit (over), but for the rest that is shared alike:
- * three sixteenths of the limit at most.
+ * Invariant: all that is allowed at a time, by shares and by the controller, is the limit (over).
  *
- * Switches: FORGET_RESERVE (a controller that starts sets nothing aside), WHOLE_LIMIT (a part is one of the whole limit, whatever is set aside
- * already), KEEP_RESERVE_UNTOLD (gateways are not told what is set aside, and use it).
+ * Switches: FORGET_RESERVE (a controller that starts reserves nothing), BY_USE (a share goes by who uses the account at the time of the cut),
+ * KEEP_RESERVE_UNTOLD (gateways are not told what is reserved, and use it).
  */
 #define N 3
-#define LIMIT 16
-#define REST 4              /* a quarter of the limit, to all alike */
+#define LIMIT 15
 
 bool isUsing[N];            /* the account comes in here */
 bool isAlone[N];
-byte part[N];               /* while alone */
-byte told[N];               /* what is set aside, as the gateway was told last */
-byte aside;                 /* by the controller, for all that it does not hear */
+byte share[N];              /* while alone */
+byte told[N];               /* what is reserved, as the gateway was told last */
+byte reserved;              /* by the controller, for all that it does not hear */
 bool over = false;
 
 byte heard;                 /* gateways */
@@ -43,7 +40,7 @@
         if
         :: !isAlone[i] ->
 #ifndef KEEP_RESERVE_UNTOLD
-            told[i] = aside
+            told[i] = reserved
 #else
             skip
 #endif
@@ -52,32 +49,30 @@
     }
 }
 
-byte shared;
 inline cut(g) {
     count();
-#ifdef WHOLE_LIMIT
-    shared = LIMIT;
+#ifdef BY_USE
+    share[g] = (isUsing[g] -> LIMIT / users : 0);
 #else
-    shared = (told[g] > LIMIT -> 0 : LIMIT - told[g]);
+    share[g] = LIMIT / N;
 #endif
-    part[g] = (isUsing[g] -> (LIMIT - REST) * shared / LIMIT / users : 0) + REST / N;
     isAlone[g] = true;
-    aside = aside + part[g];
+    reserved = reserved + share[g];
     tell()
 }
 
 inline healAll() {
-    for (i : 0 .. N - 1) { isAlone[i] = false; part[i] = 0 }
-    aside = 0;
+    for (i : 0 .. N - 1) { isAlone[i] = false; share[i] = 0 }
+    reserved = 0;
     tell()
 }
 
 inline restart() {
-    aside = 0;
+    reserved = 0;
 #ifndef FORGET_RESERVE
     for (i : 0 .. N - 1) {
         if
-        :: !isAlone[i] && told[i] > aside -> aside = told[i]
+        :: !isAlone[i] && told[i] > reserved -> reserved = told[i]
         :: else -> skip
         fi
     }
@@ -86,24 +81,25 @@
 }
 
 byte allowed;
+byte known;
 inline check() {
     count();
     allowed = 0;
-    for (i : 0 .. N - 1) { allowed = allowed + part[i] }
+    for (i : 0 .. N - 1) { allowed = allowed + share[i] }
     if
     :: heard > 0 ->
-        shared = 0;
+        known = 0;
         for (i : 0 .. N - 1) {
             if
-            :: !isAlone[i] && told[i] > shared -> shared = told[i]
+            :: !isAlone[i] && told[i] > known -> known = told[i]
             :: else -> skip
             fi
         }
-        allowed = allowed + (shared < LIMIT -> LIMIT - shared : 0)
+        allowed = allowed + (known < LIMIT -> LIMIT - known : 0)
     :: else -> skip
     fi;
     if
-    :: allowed > LIMIT + 3 -> over = true
+    :: allowed > LIMIT -> over = true
     :: else -> skip
     fi
 }
@@ -119,7 +115,7 @@
         :: healAll()
         :: restart()
         fi;
-        check(); shared = 0; allowed = 0; heard = 0; users = 0; i = 0; g = 0
+        check(); known = 0; allowed = 0; heard = 0; users = 0; i = 0; g = 0
     }
     od
 }
--- a/test/support/QuotaFleet.h
+++ b/test/support/QuotaFleet.h
@@ -29,6 +29,13 @@
 /// A limit as a replica states it: requests per second.
 inline Limit replicaLimit(double perSecond) { return { { QuotaRule::Unit::Requests, perSecond, 0, 0 }, { 4s, 0.5, 5 }, 1, true }; }
 
+/// What all gateways together may admit in a window.
+inline double bound(const Limit& limit)
+{
+    const auto& [quota, settings, amount, isReplica] = limit;
+    return (quota.perSecond * toSeconds(settings.window) + quota.burst) * (1 + settings.excess) + settings.slack;
+}
+
 /// Simulates gateways and controllers with one limit, in time steps.
 class Fleet {
 public:
@@ -126,11 +133,7 @@
         }
         return maximum;
     }
-    [[nodiscard]] double bound() const
-    {
-        const auto& [quota, settings, amount, isReplica] = m_limit;
-        return (quota.perSecond * toSeconds(settings.window) + quota.burst) * (1 + settings.excess) + settings.slack;
-    }
+    [[nodiscard]] double bound() const { return quotas::bound(m_limit); }
     [[nodiscard]] double admittedSince(Instant from) const
     {
         double sum = 0;
