--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -7,14 +7,16 @@
  */
 #pragma once
 
-#include "connection/Endpoint.h"
 #include "connection/HttpServer.h"
 #include "connection/HttpText.h"
 #include "connection/PeerHub.h"
 #include "connection/UpstreamPool.h"
 #include "process/AccountPages.h"
 #include "process/AdminPages.h"
+#include "process/ForwardAdapter.h"
 #include "process/ForwardMetrics.h"
+#include "process/ForwardPages.h"
+#include "process/ForwardPeers.h"
 #include "process/LogicDriver.h"
 #include "process/Runtime.h"
 #include "request/fleet/RequestFingerprint.h"
@@ -30,56 +32,7 @@
 
 namespace wrenhinge {
 
-/// A caller's request, parsed.
-struct ParsedCallerRequest {
-    std::string id; ///< The request id that the caller assigned; the replica's answer repeats it.
-    forward::RequestMetadata metadata;
-};
-
-/// Parses and formats the requests and answers of a platform's callers and replicas.
-template <typename D>
-concept ForwardDialect
-    = requires(const HttpRequest& request, const UpstreamHead& head, const forward::Send& send, const Error& error, const std::string& text)
-{
-    {
-        D::readCaller(request)
-        } -> std::same_as<ParsedCallerRequest>;
-    {
-        D::upstreamRequest(request, send)
-        } -> std::same_as<UpstreamRequest>;
-    {
-        D::readAnswer(head, text)
-        } -> std::same_as<forward::AnswerMetadata>;
-    {
-        D::whose(head, text)
-        } -> std::same_as<AnswerOwner>;
-    {
-        D::readPrefill(text)
-        } -> std::same_as<std::optional<std::string>>;
-    {
-        D::readPlace(text)
-        } -> std::same_as<std::optional<std::string>>;
-    {
-        D::takePlace(forward::ReserveAtReplica {})
-        } -> std::same_as<UpstreamRequest>;
-    {
-        D::dropPlace(forward::Reservation {})
-        } -> std::same_as<UpstreamRequest>;
-    {
-        D::freePrompt(*send.source)
-        } -> std::same_as<UpstreamRequest>;
-    {
-        D::errorHeaders(error, text)
-        } -> std::same_as<HeaderList>;
-    {
-        D::errorBody(error)
-        } -> std::same_as<std::string>;
-    {
-        typename D::DocumentReader().read(text)
-        } -> std::same_as<Result<RoutingDocument>>;
-};
-
-template <ForwardDialect Dialect> class ForwardRole {
+template <ForwardAdapter Dialect> class ForwardRole {
 public:
     /// New requests are accepted for this long after SIGTERM: a load balancer needs up to two failed readiness checks, one second apart,
     /// to redirect callers.
@@ -106,6 +59,7 @@
         , m_callers(m_strand,
               [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { onRequest(std::move(request), std::move(answer)); })
         , m_ready(m_strand, [this](HttpRequest&&, const std::shared_ptr<HttpAnswer>& answer) { onReadyCheck(*answer); })
+        , m_peers(m_hub, settings.sidecarPort)
         , m_pool(m_strand)
         , m_pages(settings, runtime, { [this] { return isReady(); }, [this] { return m_hub.peers(); } })
         , m_documents(
@@ -199,30 +153,10 @@
         if (const auto* roster = std::get_if<ControllerRoster>(&message)) {
             for (const auto& address : roster->addresses)
                 m_hub.dial(address);
-        } else if (const auto* announced = std::get_if<RelayedAnnouncement>(&message)) {
-            post(*announced);
-        } else if (const auto* withdrawn = std::get_if<ReplicaWithdrawn>(&message)) {
-            post(*withdrawn);
-        } else if (const auto* headroom = std::get_if<EngineHeadroom>(&message)) {
-            post(forward::EngineHeadroomReported { headroom->address, { peer, headroom->tokens, headroom->prefillBacklog } });
-        } else if (const auto* reply = std::get_if<ReservationReply>(&message)) {
-            post(forward::SidecarReservationReply { reply->request, reply->attempt, reply->isGranted, reply->headroom });
-        } else if (auto* heartbeat = std::get_if<RegistryHeartbeat>(&message)) {
-            post(forward::RegistryHeartbeatReceived { peer, std::move(*heartbeat) });
-        } else if (auto* list = std::get_if<RegistryList>(&message)) {
-            post(forward::RegistryListReceived { peer, std::move(*list) });
-        } else if (const auto* change = std::get_if<StageChange>(&message)) {
-            post(*change);
-        } else if (auto* crashes = std::get_if<CrashReport>(&message)) {
-            post(forward::CrashesReported { std::move(*crashes) });
-        } else if (auto* totals = std::get_if<QuotaTotals>(&message)) {
-            post(forward::QuotaTotalsReceived { peer, std::move(*totals) });
-        } else if (auto* limits = std::get_if<ReplicaRateLimits>(&message)) {
-            post(forward::ReplicaLimitsReceived { std::move(limits->limits) });
-        } else if (auto* usage = std::get_if<ReplicaUsageTotals>(&message)) {
-            post(forward::PermitsReceived { peer, std::move(usage->grant) });
         } else if (std::holds_alternative<DocumentOffer>(message) || std::holds_alternative<DocumentPart>(message)) {
             m_documents.post(document::PeerMessage { peer, std::move(message) });
+        } else if (auto event = forwardEventOf(peer, std::move(message))) {
+            post(*event);
         }
     }
 
@@ -349,20 +283,14 @@
 
     void execute(forward::ReserveAtSidecar& reserve)
     {
-        auto* exchange = find(reserve.id);
-        if (!exchange)
-            return;
-        m_hub.send(reserve.sidecar,
-            ReservationRequest { reserve.id, reserve.attempt, exchange->callerId, reserve.promptTokens, reserve.expectedTokens,
-                reserve.maxOutputTokens, reserve.slots });
-    }
-
-    void execute(forward::NotifyPrefill& notify)
-    {
-        m_hub.send(notify.sidecar, PrefillNotice { notify.id, notify.promptTokens, notify.hasEnded });
+        if (auto* exchange = find(reserve.id))
+            m_peers.reserve(reserve, exchange->callerId);
     }
 
-    void execute(forward::EndSidecarReservation& end) { m_hub.send(end.sidecar, ReservationEnd { end.id, end.isComplete, end.hasFailed }); }
+    /// Messages to other processes of this project.
+    template <typename E>
+    requires requires(ForwardPeers& peers, E& effect) { peers.execute(effect); }
+    void execute(E& effect) { m_peers.execute(effect); }
 
     void execute(forward::ReleaseReservation& release)
     {
@@ -429,69 +357,6 @@
 
     void execute(forward::DropConnections& drop) { m_pool.forget(drop.replica); }
 
-    /// The sidecar of an engine runs on the engine's host.
-    void execute(forward::ConnectSidecar& connect)
-    {
-        if (m_settings.sidecarPort)
-            m_hub.dial(withPort(connect.engineAddress, m_settings.sidecarPort));
-    }
-
-    void execute(forward::DisconnectSidecar& disconnect)
-    {
-        if (m_settings.sidecarPort)
-            m_hub.leave(withPort(disconnect.engineAddress, m_settings.sidecarPort));
-    }
-
-    void execute(forward::FetchRegistry& fetch) { m_hub.send(fetch.controller, fetch.request); }
-
-    void execute(forward::ReportLoad& load) { sendToControllers(load.report); }
-
-    void execute(forward::ReportCrashes& crashes)
-    {
-        if (crashes.controller)
-            m_hub.send(*crashes.controller, crashes.report);
-        else
-            sendToControllers(crashes.report);
-    }
-
-    static QuotaReport quotaReportFor(PeerId controller, const AccountQuotas::Report& report)
-    {
-        return { report.uses, report.totalsSource == controller, report.asksForAll, report.knownGateways };
-    }
-
-    void execute(forward::ReportQuotaUsage& usage)
-    {
-        sendToControllers([&usage](PeerId to) { return quotaReportFor(to, usage.report); });
-    }
-
-    void execute(forward::RequestPermits& permits)
-    {
-        m_hub.send(permits.controller, ReplicaUsageReport { {}, std::move(permits.request) });
-    }
-
-    void execute(forward::ReportReplicaLimits& report)
-    {
-        ReplicaRateLimits limits { report.limits };
-        if (report.controller)
-            m_hub.send(*report.controller, limits);
-        else
-            sendToControllers(limits);
-    }
-
-    void sendToControllers(const Message& message)
-    {
-        sendToControllers([&message](PeerId) -> const Message& { return message; });
-    }
-
-    /// \param messageFor returns the message for the controller with this id.
-    template <std::invocable<PeerId> F> void sendToControllers(F messageFor)
-    {
-        for (const auto& peer : m_hub.peers()) {
-            if (peer.role == Role::Controller)
-                m_hub.send(peer.id, messageFor(peer.id));
-        }
-    }
-
     void execute(forward::SetLimits& set)
     {
         HttpServer::Limits limits;
@@ -519,20 +384,13 @@
         if (request.path == "/status")
             return AdminPages::json(status());
         if (request.path == "/upstreams")
-            return AdminPages::json(upstreams());
+            return AdminPages::json(m_driver.modify([](ForwardLogic& logic) { return upstreamsPage(logic, currentInstant()); }));
         if (request.path == "/accounts")
             return AdminPages::json(m_driver.modify([](ForwardLogic& logic) { return accountsPage(logic.quotas(), currentInstant()); }));
         if (request.path != "/metrics")
             return AdminPages::notFound(request.path);
-        m_driver.modify([this](ForwardLogic& logic) {
-            m_metrics.setGauge("wrenhinge_in_progress", static_cast<double>(logic.requests()));
-            m_metrics.setGauge("wrenhinge_log_lines_left_out", static_cast<double>(m_runtime.log().droppedLines()));
-            m_metrics.setGauge("wrenhinge_engines_used", static_cast<double>(logic.replicas().subset().ids().size()));
-            m_metrics.setGauge("wrenhinge_document_version", static_cast<double>(logic.documentVersion()));
-            m_metrics.setGauge("wrenhinge_rate_limited_replicas", static_cast<double>(logic.limits().size()));
-            m_metrics.setGauge("wrenhinge_rate_limit_refusals_total", static_cast<double>(logic.limits().refusals()));
-            m_metrics.setGauge("wrenhinge_keys_refused_total", static_cast<double>(logic.refusedKeys()));
-        });
+        m_metrics.setGauge("wrenhinge_log_lines_left_out", static_cast<double>(m_runtime.log().droppedLines()));
+        m_driver.modify([this](ForwardLogic& logic) { setGauges(m_metrics, logic); });
         auto quotaMetrics = m_driver.modify([](ForwardLogic& logic) { return accountMetrics(logic.quotas()); });
         return { 200, "text/plain; version=0.0.4", m_metrics.text() + quotaMetrics + m_runtime.refusals().metrics() };
     }
@@ -541,42 +399,10 @@
     {
         auto json = m_pages.identity();
         json["draining"] = m_isDraining.load();
-        m_driver.modify([&json](ForwardLogic& logic) {
-            auto now = currentInstant();
-            json["in_progress"] = logic.requests();
-            json["serving"] = logic.isServing(now);
-            json["document_version"] = logic.documentVersion();
-            json["engines_used"] = logic.replicas().subset().ids().size();
-            json["retry_budget_left"] = logic.retryBudget(now);
-        });
+        m_driver.modify([&json](ForwardLogic& logic) { json.update(forwardStatus(logic, currentInstant())); });
         return json;
     }
 
-    /// The replicas known to this gateway, in the format that `wrenhinge upstream list` reads.
-    nlohmann::json upstreams()
-    {
-        return m_driver.modify([](ForwardLogic& logic) {
-            auto now = currentInstant();
-            auto list = nlohmann::json::array();
-            for (const auto& [id, entry] : logic.replicas().registry().entries()) {
-                const auto& announcement = entry.announcement;
-                auto found = logic.replicas().loads().find(announcement.run());
-                auto load = found == logic.replicas().loads().end() ? ReplicaTable::Load() : found->second;
-                bool isAvoided = load.backoffUntil > now;
-                auto state = announcement.state == ReplicaState::Draining ? "draining" : isAvoided ? "ejected" : "in-use";
-                list.push_back({ { "id", id }, { "service", announcement.service }, { "replica", id },
-                    { "started_unix_ms", announcement.start.value() }, { "zone", announcement.zone }, { "kind", nameOf(announcement.kind) },
-                    { "state", state }, { "heard_ms", (now - entry.lastHeardAt) / 1ms }, { "failing", load.failureRate },
-                    { "mean_seconds", load.meanSeconds },
-                    { "load",
-                        { { "slots", announcement.slots }, { "occupied", load.calls }, { "queued", 0 }, { "tokens", load.tokens } } } });
-                if (auto usage = logic.limits().usage(announcement.run(), now))
-                    list.back()["rate_limit"] = { { "per_second", usage->perSecond }, { "remaining", usage->remaining } };
-            }
-            return list;
-        });
-    }
-
     /// Removes an exchange. \returns its answer to the caller, or null if there is no such exchange.
     std::shared_ptr<HttpAnswer> removeExchange(const RequestId& id)
     {
@@ -594,6 +420,7 @@
     PeerHub m_hub;
     HttpServer m_callers;
     HttpServer m_ready;
+    ForwardPeers m_peers;
     UpstreamPool m_pool;
     AdminPages m_pages;
     ForwardMetrics m_metrics;
