--- a/test/correctness/PermitTest.cpp
+++ b/test/correctness/PermitTest.cpp
@@ -32,7 +32,6 @@
 public:
     DelayedFleet(std::uint32_t seed, double perSecond)
         : m_random(seed)
-        , m_perSecond(perSecond)
         , m_pools(draw(1, 3))
     {
         auto gateways = draw(2, 9);
@@ -157,7 +156,6 @@
     }
 
     std::mt19937 m_random;
-    double m_perSecond;
     Instant m_now = start;
     std::vector<PermitPool> m_pools;
     std::array<Instant, 3> m_poolsFrozenUntil {};
