--- a/src/request/fleet/AccountQuota.h
+++ b/src/request/fleet/AccountQuota.h
@@ -38,7 +38,7 @@
     inline constexpr Duration usageTimeConstant = 4s;
 
     /// The share of a limit that an isolated gateway may use, and that the controllers reserve for it. It depends on nothing that the two
-    /// could see differently: shares by usage, each fixed at another moment of a burst, added up to twice the limit.
+    /// could see differently: shares by usage, each taken at another moment of a burst, can add up to twice the limit.
     inline double isolatedShare(double limit, std::uint32_t gateways) { return limit / std::max(1u, gateways); }
 
 } // namespace quota
