--- a/src/request/fleet/QuotaAggregator.cpp
+++ b/src/request/fleet/QuotaAggregator.cpp
@@ -69,15 +69,6 @@
     }
 }
 
-void QuotaAggregator::forget(AccountId id)
-{
-    m_accounts.erase(id);
-    for (auto& [peer, gateway] : m_gateways) {
-        gateway.usages.erase(id);
-        gateway.requested.erase(id);
-    }
-}
-
 void QuotaAggregator::takeSnapshot(Instant now)
 {
     if (now - m_snapshotAt < snapshotInterval)
--- a/src/request/fleet/QuotaAggregator.h
+++ b/src/request/fleet/QuotaAggregator.h
@@ -38,8 +38,6 @@
     void disconnected(PeerId gateway, Instant now);
     /// Adds a gateway's report.
     void take(PeerId gateway, const QuotaReport&, Instant now);
-    /// Drops an account that is no longer limited.
-    void forget(AccountId);
     /// Returns the totals to send, with their recipients. Call it every `quota::broadcastInterval`.
     std::vector<std::pair<PeerId, QuotaTotals>> totalsToSend(Instant now);
 
