--- a/src/process/ForwardPages.cpp
+++ b/src/process/ForwardPages.cpp
@@ -19,11 +19,11 @@
         auto load = found == logic.replicas().loads().end() ? ReplicaTable::Load() : found->second;
         bool isAvoided = load.backoffUntil > now;
         auto state = announcement.state == ReplicaState::Draining ? "draining" : isAvoided ? "ejected" : "in-use";
-        list.push_back(
-            { { "id", id }, { "service", announcement.service }, { "replica", id }, { "started_unix_ms", announcement.start.value() },
-                { "zone", announcement.zone }, { "kind", nameOf(announcement.kind) }, { "state", state },
-                { "heard_ms", (now - entry.lastHeardAt) / 1ms }, { "failing", load.failureRate }, { "mean_seconds", load.meanSeconds },
-                { "load", { { "slots", announcement.slots }, { "occupied", load.calls }, { "queued", 0 }, { "tokens", load.tokens } } } });
+        list.push_back({ { "id", id }, { "service", announcement.service }, { "replica", id },
+            { "started_unix_ms", announcement.start.value() }, { "zone", announcement.zone },
+            { "software_version", announcement.softwareVersion }, { "kind", nameOf(announcement.kind) }, { "state", state },
+            { "heard_ms", (now - entry.lastHeardAt) / 1ms }, { "failing", load.failureRate }, { "mean_seconds", load.meanSeconds },
+            { "load", { { "slots", announcement.slots }, { "occupied", load.calls }, { "queued", 0 }, { "tokens", load.tokens } } } });
         if (auto usage = logic.limits().usage(announcement.run(), now))
             list.back()["rate_limit"] = { { "per_second", usage->perSecond }, { "remaining", usage->remaining } };
     }
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -68,8 +68,8 @@
         if (!flow.hasStreamStarted) {
             flow.hasStreamStarted = true;
             flow.timeToFirstByte = now - flow.arrivedAt;
-            m_effects.push_back(LogEvent {
-                EventCode::FirstByte, flow.id, toString(flow.replica) + " after " + std::to_string((now - flow.sentAt) / 1ms) + " ms" });
+            m_effects.push_back(LogEvent { EventCode::FirstByte, flow.id,
+                m_replicas.describe(flow.replica) + " after " + std::to_string((now - flow.sentAt) / 1ms) + " ms" });
             m_effects.push_back(BeginStream { flow.id, flow.metadata.status, flow.headers });
         } else {
             flow.longestGap = std::max(flow.longestGap, now - flow.lastForwardedAt);
--- a/src/request/forward/ForwardEvents.h
+++ b/src/request/forward/ForwardEvents.h
@@ -28,6 +28,8 @@
     bool hasTokenCounts = false; ///< The caller stated promptTokens and outputTokens.
     std::optional<std::uint32_t> expectedTokens; ///< The caller's estimate of the output.
     std::optional<std::uint64_t> resumeAfter; ///< The caller resumes a stream after the event with this id.
+    /// Id of the caller's request that brought the first event of the stream that this one resumes, as the caller states it.
+    std::optional<std::string> resumedRequest;
 };
 
 /// What the status line and headers of an answer say, independent of the dialect that the replica speaks.
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -38,6 +38,17 @@
     constexpr std::uint32_t defaultOutputDivisor = 2;
     /// Retry-After when another gateway can take the request at once. Not zero, which some clients treat as absent.
     constexpr Duration drainingRetryAfter = 10ms;
+    /// In bytes; callers choose their ids.
+    constexpr std::size_t longestLoggedId = 64;
+
+    /// Which stream the caller resumes, for the log.
+    std::string resumptionText(const RequestMetadata& request)
+    {
+        if (!request.resumeAfter && !request.resumedRequest)
+            return "";
+        auto after = request.resumeAfter ? std::to_string(*request.resumeAfter) : "none";
+        return " resumes " + request.resumedRequest.value_or("an unnamed request").substr(0, longestLoggedId) + " after event " + after;
+    }
 
 } // namespace
 
@@ -126,7 +137,7 @@
     }
     bool isDraining = announcement.state == ReplicaState::Draining;
     m_effects.push_back(LogEvent { isDraining ? EventCode::UpstreamDraining : EventCode::UpstreamAnnounced, {},
-        announcement.id + " of " + announcement.service + " at " + announcement.address });
+        announcement.id + " of " + announcement.service + " at " + announcement.address + " software " + announcement.softwareVersion });
     return true;
 }
 
@@ -279,7 +290,7 @@
         flow.route->name + " document " + std::to_string(m_table->version()) + " tokens " + std::to_string(request.promptTokens) + "+"
             + std::to_string(request.outputTokens) + " expected " + std::to_string(expectedTokensOf(flow)) + " left "
             + std::to_string((flow.deadline - now) / 1ms) + " ms fingerprint " + toString(request.fingerprint)
-            + (flow.account ? " account " + flow.account->name : "") });
+            + (flow.account ? " account " + flow.account->name : "") + resumptionText(request) });
     auto& longest = m_maxCallerTimeout[flow.route->name];
     longest = std::max(longest, request.callerTimeout.value_or(Duration::zero()));
     if (crashesReplicas(flow, now))
@@ -460,8 +471,8 @@
     auto code = flow.stage == Flow::Stage::Running ? EventCode::RequestPlaced
         : flow.stage == Flow::Stage::Prefilling    ? EventCode::PrefillStarted
                                                    : EventCode::PlaceAsked;
-    auto text = toString(flow.replica) + " attempt " + std::to_string(flow.attempt.value()) + " calls " + std::to_string(load.calls)
-        + " tokens " + std::to_string(load.tokens);
+    auto text = m_replicas.describe(flow.replica) + " attempt " + std::to_string(flow.attempt.value()) + " calls "
+        + std::to_string(load.calls) + " tokens " + std::to_string(load.tokens);
     if (flow.stage == Flow::Stage::Running && flow.reservationAttempts)
         text += " places asked " + std::to_string(flow.reservationAttempts);
     m_effects.push_back(LogEvent { code, flow.id, std::move(text) });
--- a/src/request/forward/ReplicaTable.cpp
+++ b/src/request/forward/ReplicaTable.cpp
@@ -50,6 +50,12 @@
     return announcement.zone == zone ? cost : cost * otherZonePenalty;
 }
 
+std::string ReplicaTable::describe(const ReplicaRun& run) const
+{
+    const auto* entry = m_registry.find(run);
+    return toString(run) + " software " + (entry ? entry->announcement.softwareVersion : "unknown");
+}
+
 std::string ReplicaTable::zoneOf(const ReplicaRun& run) const
 {
     const auto* entry = m_registry.find(run);
--- a/src/request/forward/ReplicaTable.h
+++ b/src/request/forward/ReplicaTable.h
@@ -82,6 +82,8 @@
     [[nodiscard]] const EngineSubset& subset() const { return m_subset; }
     /// Whether any replica of this kind accepts work, however loaded it is.
     [[nodiscard]] bool hasReady(const std::string& service, UpstreamKind) const;
+    /// The replica's run and the version of its software, for a log.
+    [[nodiscard]] std::string describe(const ReplicaRun&) const;
     /// The availability zone of a replica's run, or empty if that is not known or has ended.
     [[nodiscard]] std::string zoneOf(const ReplicaRun&) const;
     void begin(const ReplicaRun&, std::uint32_t tokens);
