Carry out the effects of a gateway's timers at once

What callers saw: at a gateway that gets no message and no request, nothing that a timer decides happened: a request without an answer had no 504 at its timeout (none within 20 s in the new case, before; at once now), and what waits for a reply hung. With traffic it was late, by the pause until the next event. Cause: ForwardRole collected the effects of all steps, but only its own post() had them carried out; a tick of the timer service steps the logic without it. The first effect that is collected now has them carried out, whatever the step came from. platform-gateway: the case failed on the code before (not ended after 20 s) and passes.

--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -65,7 +65,7 @@
         , m_documents(
               runtime.timers(), [this](document::Effect& effect) { executeDocumentEffect(effect); }, document::Tick {}, randomIdentity())
         , m_driver(
-              runtime.timers(), [this](forward::Effect& effect) { m_effects.push_back(std::move(effect)); }, forward::Tick {},
+              runtime.timers(), [this](forward::Effect& effect) { collect(std::move(effect)); }, forward::Tick {},
               ForwardLogic::Settings { settings.zone, randomIdentity(), settings.retries, settings.name, settings.quotas })
     {
     }
@@ -124,11 +124,7 @@
 
     // --- Events -------------------------------------------------------------------------------------------------
 
-    void post(const forward::Event& event)
-    {
-        m_driver.post(event);
-        boost::asio::post(m_strand, [this] { executeEffects(); });
-    }
+    void post(const forward::Event& event) { m_driver.post(event); }
 
     void onRequest(HttpRequest&& request, std::shared_ptr<HttpAnswer> answer)
     {
@@ -185,6 +181,14 @@
 
     // --- Effects ------------------------------------------------------------------------------------------------
 
+    /// Called under the driver's lock, for the effects of events and of timers.
+    void collect(forward::Effect effect)
+    {
+        m_effects.push_back(std::move(effect));
+        if (m_effects.size() == 1)
+            boost::asio::post(m_strand, [this] { executeEffects(); });
+    }
+
     void executeEffects()
     {
         std::vector<forward::Effect> effects;
