Streams go on only at the software version that began them

What callers saw: a stream that began at one software version went on at another, within an answer or when they resumed it. Cause: no process decided by the version that replicas announce; a resumption chose among all replicas of the service, and drew the service of a split route anew. Class: what one process learns and another needs for the next attempt was not passed on, and not knowing was taken for 'any'. Evidence: the test fails alike at the gateway that began the stream, at others, with and without controllers, and with versions known long before, which excludes a late announcement or a lost gateway as the cause. Now the service and the version (StreamOrigin) are recorded at three holders, controllers first, and the first event is held back until one has confirmed that. A resumption, by the gateway or by the caller, chooses only among replicas of that version; a gateway that doesn't know asks all holders. What nobody knows, what is ambiguous and what no replica of the version can take is refused at once as not run (208 NOT_RESUMABLE). Why it holds: each stream has one record, made of what the gateway believed when it sent the call that brought the first event, and nothing resumes a stream without that record; a replica that changes its software under its id loses the resumed streams there before their next event.

ForwardBench announces a version now, which the wire demands. Cost: one round trip before a stream's first event.

--- a/src/base/EventCode.cpp
+++ b/src/base/EventCode.cpp
@@ -33,6 +33,7 @@
         EventRow { EventCode::DecodeMoved, "DECODE_MOVED" },
         EventRow { EventCode::PlaceAsked, "PLACE_ASKED" },
         EventRow { EventCode::RequestCrashesReplicas, "REQUEST_CRASHES_REPLICAS" },
+        EventRow { EventCode::StreamOriginFound, "STREAM_ORIGIN_FOUND" },
         EventRow { EventCode::IntentRecorded, "INTENT_RECORDED" },
         EventRow { EventCode::AnswerReplayed, "ANSWER_REPLAYED" },
         EventRow { EventCode::AttemptSealed, "ATTEMPT_SEALED" },
--- a/src/base/EventCode.h
+++ b/src/base/EventCode.h
@@ -41,6 +41,7 @@
     DecodeMoved = 213,
     PlaceAsked = 214,
     RequestCrashesReplicas = 215,
+    StreamOriginFound = 216,
     IntentRecorded = 220,
     AnswerReplayed = 221,
     AttemptSealed = 222,
--- a/src/base/Ids.cpp
+++ b/src/base/Ids.cpp
@@ -24,6 +24,8 @@
 
 std::string toString(LimitId id) { return hexadecimal(id.value()); }
 
+std::string toString(StreamId id) { return hexadecimal(id.value()); }
+
 std::string toString(const RequestId& id) { return toString(id.origin) + "-" + std::to_string(id.sequence); }
 
 std::string toString(const ReplicaRun& run)
--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -52,6 +52,9 @@
 /// The request rate limit of one run of a replica in messages: a hash of the run.
 using LimitId = StrongId<struct LimitTag>;
 
+/// A stream that its caller may resume: a hash of the client account and of the id that the caller gave the request which began it.
+using StreamId = StrongId<struct StreamTag>;
+
 /// When a replica started: Unix milliseconds by its own machine's clock; zero if not stated.
 using ReplicaStart = StrongId<struct ReplicaStartTag>;
 
@@ -81,6 +84,7 @@
 std::string toString(RequestFingerprint);
 std::string toString(AccountId);
 std::string toString(LimitId);
+std::string toString(StreamId);
 /// `<id>@<start>`, or the id alone if the run states no start.
 std::string toString(const ReplicaRun&);
 
--- a/src/base/ResultCode.cpp
+++ b/src/base/ResultCode.cpp
@@ -35,6 +35,7 @@
         CodeRow { ResultCode::Draining, "DRAINING", notRun, 503 },
         CodeRow { ResultCode::DeadlineUnreachable, "DEADLINE_UNREACHABLE", notRun, 503 },
         CodeRow { ResultCode::Superseded, "SUPERSEDED", "in_progress", 409 },
+        CodeRow { ResultCode::NotResumable, "NOT_RESUMABLE", notRun, 503 },
         CodeRow { ResultCode::InProgress, "IN_PROGRESS", "in_progress", 409 },
         CodeRow { ResultCode::OutcomeUnknown, "OUTCOME_UNKNOWN", "unknown", 502 },
         CodeRow { ResultCode::AnswerNotKept, "ANSWER_NOT_KEPT", "done", 410 },
--- a/src/base/ResultCode.h
+++ b/src/base/ResultCode.h
@@ -37,6 +37,7 @@
     Draining = 205,
     DeadlineUnreachable = 206,
     Superseded = 207,
+    NotResumable = 208,
     // 3xx: the request may have run.
     InProgress = 300,
     OutcomeUnknown = 301,
--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -111,6 +111,20 @@
         return std::nullopt;
     }
 
+    Fault check(const StreamOrigin& origin)
+    {
+        if (auto fault = faultOfName("service", origin.service))
+            return fault;
+        return faultOfName("softwareVersion", origin.softwareVersion);
+    }
+
+    Fault check(const StreamRecord& record)
+    {
+        if (record.keepFor < Duration::zero() || record.keepFor > longestSpan)
+            return wrong("keepFor", "a span of time from zero", std::to_string(record.keepFor.count()) + " us");
+        return check(record.origin);
+    }
+
     template <typename T> Fault checkEach(const std::vector<T>& list)
     {
         for (const auto& item : list) {
@@ -146,6 +160,10 @@
 
     Fault check(const ReplicaUsageTotals& usage) { return check(usage.totals); }
 
+    Fault check(const StreamRecords& records) { return checkEach(records.records); }
+
+    Fault check(const StreamLookupReply& reply) { return reply.knowledge == StreamKnowledge::Known ? check(reply.origin) : std::nullopt; }
+
     Fault check(const CrashReport& report)
     {
         if (auto fault = checkEach(report.crashes))
--- a/src/connection/PeerHub.cpp
+++ b/src/connection/PeerHub.cpp
@@ -20,6 +20,7 @@
     , m_acceptor(boost::asio::make_strand(io))
     , m_self(std::move(self))
 {
+    m_self.messageTypes = static_cast<std::uint32_t>(std::variant_size_v<Message>);
 }
 
 Result<std::string> PeerHub::listen(const std::string& address)
--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -14,6 +14,7 @@
 #include "message/RegistryMessages.h"
 #include "message/ReservationMessages.h"
 #include "message/SidecarMessages.h"
+#include "message/StreamMessages.h"
 
 #include <variant>
 
@@ -28,7 +29,8 @@
     std::string zone;
     std::string adminAddress;
     DiskId disk; ///< Controllers only: the identity of the data directory.
-    MSGPACK_DEFINE(id, role, name, site, zone, adminAddress, disk)
+    std::uint32_t messageTypes = 0; ///< How many types of messages the sender knows; zero from releases without this field.
+    MSGPACK_DEFINE(id, role, name, site, zone, adminAddress, disk, messageTypes)
 };
 
 using Message = std::variant<Hello, UpstreamAnnouncement, SlotGrant, Refused, PrefillDone, ResponseHead, ResponseData, ResponseEnd, Failed,
@@ -36,6 +38,10 @@
     VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, RelayedAnnouncement, ReplicaWithdrawn,
     RegistryHeartbeat, DocumentOffer, ControllerRoster, ReadIndex, ReadIndexReply, EngineLoadReport, StageChange, DocumentRequest,
     DocumentPart, ReservationRequest, ReservationReply, ReservationEnd, EngineHeadroom, PrefillNotice, RegistryRequest, RegistryList,
-    CrashReport, QuotaReport, QuotaTotals, ReplicaRateLimits, ReplicaUsageReport, ReplicaUsageTotals>;
+    CrashReport, QuotaReport, QuotaTotals, ReplicaRateLimits, ReplicaUsageReport, ReplicaUsageTotals, StreamRecords, StreamRecordsHeld,
+    StreamLookup, StreamLookupReply>;
+
+/// Whether the sender of the Hello knows this type of messages. A process ends the link over which it receives one that it doesn't know.
+template <typename T> bool knows(const Hello& peer) { return Message(T()).index() < peer.messageTypes; }
 
 } // namespace wrenhinge
--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -92,6 +92,7 @@
     , m_crashRelay(m_strand, m_hub, runtime.log(), m_registrar.registry())
     , m_quotaRelay(m_strand, m_hub)
     , m_limitRelay(m_strand, m_hub, m_registrar.registry())
+    , m_streams(m_strand, m_hub)
     , m_pages(settings, runtime,
           { [this] {
                std::lock_guard lock(m_logicMutex);
@@ -221,6 +222,8 @@
         return m_limitRelay.receive(peer, std::move(*limits));
     if (auto* usage = std::get_if<ReplicaUsageReport>(&message))
         return m_limitRelay.receive(peer, std::move(*usage));
+    if (m_streams.receive(peer, message))
+        return;
     if (const auto* load = std::get_if<EngineLoadReport>(&message)) {
         if (onEngineLoad)
             onEngineLoad(peer, *load);
--- a/src/process/ControllerRole.h
+++ b/src/process/ControllerRole.h
@@ -13,6 +13,7 @@
 #include "process/QuotaRelay.h"
 #include "process/Registrar.h"
 #include "process/ReplicaLimitRelay.h"
+#include "process/StreamDirectoryServer.h"
 #include "version/ControllerLogic.h"
 #include "version/LogStorage.h"
 
@@ -86,6 +87,7 @@
     CrashRelay m_crashRelay;
     QuotaRelay m_quotaRelay;
     ReplicaLimitRelay m_limitRelay;
+    StreamDirectoryServer m_streams;
     std::optional<PersistedReplicas> m_persistedReplicas; ///< Set by `start`.
     std::optional<PersistedCrashes> m_persistedCrashes; ///< Set by `start`.
     AdminPages m_pages;
--- a/src/process/EngineSidecarRole.h
+++ b/src/process/EngineSidecarRole.h
@@ -9,6 +9,7 @@
 #include "process/AdminPages.h"
 #include "process/LogicDriver.h"
 #include "process/Runtime.h"
+#include "process/StreamDirectoryServer.h"
 #include "request/engine/EngineAdmission.h"
 
 #include <nlohmann/json.hpp>
@@ -41,6 +42,7 @@
                   [this](PeerId peer) { m_driver.post(admission::GatewayDown { peer }); },
                   [this](PeerId peer, Message&& message) { onMessage(peer, message); }, [this] { return m_runtime.log().stampSend(); },
                   [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); }, runtime.refusals().linkHandler() })
+        , m_streams(m_strand, m_hub)
         , m_pool(m_strand)
         , m_driver(
               runtime.timers(), [this](admission::Effect& effect) { std::visit([this](auto& e) { execute(e); }, effect); },
@@ -82,6 +84,8 @@
             m_driver.post(admission::ReservationEnded { peer, *end });
         else if (const auto* notice = std::get_if<PrefillNotice>(&message))
             m_driver.post(admission::PrefillReported { peer, *notice });
+        else
+            m_streams.receive(peer, message);
     }
 
     void execute(admission::Send& send) { m_hub.send(send.to, send.message); }
@@ -130,6 +134,7 @@
     Runtime& m_runtime;
     Strand m_strand;
     PeerHub m_hub;
+    StreamDirectoryServer m_streams;
     UpstreamPool m_pool;
     UpstreamPool::Call m_call; ///< The latest read; accessed only on the strand.
     LogicDriver<EngineAdmission, admission::Event, admission::Effect> m_driver;
--- a/src/process/ForwardPeers.cpp
+++ b/src/process/ForwardPeers.cpp
@@ -30,6 +30,10 @@
         return forward::ReplicaLimitsReceived { std::move(limits->limits) };
     if (auto* usage = std::get_if<ReplicaUsageTotals>(&message))
         return forward::PermitsReceived { from, std::move(usage->grant) };
+    if (auto* held = std::get_if<StreamRecordsHeld>(&message))
+        return forward::StreamRecordsConfirmed { from, std::move(*held) };
+    if (auto* reply = std::get_if<StreamLookupReply>(&message))
+        return forward::StreamLookupReplied { from, std::move(*reply) };
     return std::nullopt;
 }
 
@@ -96,6 +100,10 @@
     m_hub.send(permits.controller, ReplicaUsageReport { {}, permits.request });
 }
 
+void ForwardPeers::execute(const forward::SendStreamRecords& records) { m_hub.send(records.holder, records.message); }
+
+void ForwardPeers::execute(const forward::SendStreamLookup& lookup) { m_hub.send(lookup.holder, lookup.message); }
+
 void ForwardPeers::sendToControllers(const Message& message)
 {
     sendToControllers([&message](PeerId) -> const Message& { return message; });
--- a/src/process/ForwardPeers.h
+++ b/src/process/ForwardPeers.h
@@ -41,6 +41,10 @@
     void execute(const forward::ReportReplicaLimits&);
     void execute(const forward::RequestPermits&);
 
+    // Processes that hold the origins of streams.
+    void execute(const forward::SendStreamRecords&);
+    void execute(const forward::SendStreamLookup&);
+
 private:
     void sendToControllers(const Message&);
     /// \param messageFor returns the message for the controller with this id.
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -47,6 +47,8 @@
                    m_runtime.log().write({ EventCode::PeerUp, {}, peer.name });
                    if (peer.role == Role::Controller)
                        post(forward::ControllerConnected { peer.id });
+                   if (knows<StreamRecords>(peer) && peer.role != Role::Gateway)
+                       post(forward::StreamHolderConnected { peer.id, peer.role, peer.zone });
                },
                   [this](PeerId peer) {
                       m_runtime.log().write({ EventCode::PeerDown, {}, toString(peer) });
--- a/src/request/fleet/ReplicaRegistry.cpp
+++ b/src/request/fleet/ReplicaRegistry.cpp
@@ -11,7 +11,7 @@
     bool hasSameState(const Announcement& a, const Announcement& b)
     {
         return a.service == b.service && a.address == b.address && a.zone == b.zone && a.slots == b.slots && a.state == b.state
-            && a.kind == b.kind;
+            && a.kind == b.kind && a.softwareVersion == b.softwareVersion;
     }
 
     /// Covers the fields that hasSameState compares, and a pending stage change.
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -67,17 +67,18 @@
             continue;
         if (!flow.hasStreamStarted) {
             flow.hasStreamStarted = true;
+            recordStream(flow, now);
             flow.timeToFirstByte = now - flow.arrivedAt;
             m_effects.push_back(LogEvent { EventCode::FirstByte, flow.id,
                 m_replicas.describe(flow.replica) + " after " + std::to_string((now - flow.sentAt) / 1ms) + " ms" });
-            m_effects.push_back(BeginStream { flow.id, flow.metadata.status, flow.headers });
+            passOn(flow, BeginStream { flow.id, flow.metadata.status, flow.headers });
         } else {
             flow.longestGap = std::max(flow.longestGap, now - flow.lastForwardedAt);
         }
         if (event.id)
             flow.lastEventId = event.id;
         flow.lastEventAt = flow.lastForwardedAt = now;
-        m_effects.push_back(StreamBytes { flow.id, std::move(event.bytes) });
+        passOn(flow, StreamBytes { flow.id, std::move(event.bytes) });
     }
     scheduleCheck(flow);
 }
@@ -137,6 +138,7 @@
     m_effects.push_back(LogEvent { EventCode::RequestFinished, flow.id,
         "stream after " + std::to_string((now - flow.arrivedAt) / 1ms) + " ms, longest pause " + std::to_string(flow.longestGap / 1ms)
             + " ms" });
+    passOnHeldEvents(flow);
     m_effects.push_back(EndStream { flow.id });
     // The duration of a resumed stream says nothing about that of a complete one.
     if (!flow.request.resumeAfter)
@@ -209,11 +211,14 @@
     }
     if (flow.hasStreamStarted) {
         m_effects.push_back(LogEvent { EventCode::RequestFailed, flow.id, reason + " at " + toString(flow.replica) });
+        passOnHeldEvents(flow);
         m_effects.push_back(AbortStream { flow.id });
         return finish(flow, ResultCode::UpstreamFailed, now);
     }
     if (crashesReplicas(flow, now))
         return refuseAsCrashing(flow, now);
+    if (refuseIfVersionIsGone(flow, now))
+        return;
     if (auto atLimit = replicasAtLimit(flow, now); !flow.runs && !atLimit.empty())
         return refuseAtLimit(flow, reason, atLimit, now);
     auto notRun = flow.refusals ? ResultCode::Overloaded : ResultCode::NoUpstream;
@@ -253,6 +258,7 @@
     }
     if (flow.hasStreamStarted) {
         m_effects.push_back(LogEvent { EventCode::RequestFailed, flow.id, "the stream did not end in time" });
+        passOnHeldEvents(flow);
         m_effects.push_back(AbortStream { flow.id });
         return finish(flow, ResultCode::TimedOut, now);
     }
@@ -285,6 +291,7 @@
     endSidecarReservation(flow, false);
     auto id = flow.id;
     m_queue.remove(id);
+    m_awaitingHolders.erase({ flow.stream, id });
     m_wakes.erase({ flow.nextCheckAt, id });
     m_flows.erase(id);
 }
--- a/src/request/forward/ForwardEffects.h
+++ b/src/request/forward/ForwardEffects.h
@@ -171,8 +171,19 @@
     PeerId controller;
     PermitRequest request;
 };
+/// Record at a holder which service and software version began streams.
+struct SendStreamRecords {
+    PeerId holder;
+    StreamRecords message;
+};
+/// Ask a holder where a stream began.
+struct SendStreamLookup {
+    PeerId holder;
+    StreamLookup message;
+};
 using Effect = std::variant<Send, CancelCall, ReserveAtReplica, ReserveAtSidecar, EndSidecarReservation, NotifyPrefill, ReleaseReservation,
     ReleaseKvCache, Reply, Refuse, BeginStream, StreamBytes, EndStream, AbortStream, Finished, DropConnections, SetLimits, ConnectSidecar,
-    DisconnectSidecar, FetchRegistry, ReportLoad, ReportCrashes, ReportQuotaUsage, ReportReplicaLimits, RequestPermits, LogEvent>;
+    DisconnectSidecar, FetchRegistry, ReportLoad, ReportCrashes, ReportQuotaUsage, ReportReplicaLimits, RequestPermits, SendStreamRecords,
+    SendStreamLookup, LogEvent>;
 
 } // namespace wrenhinge::forward
--- a/src/request/forward/ForwardEngines.cpp
+++ b/src/request/forward/ForwardEngines.cpp
@@ -38,8 +38,9 @@
         m_effects.push_back(FetchRegistry { *controller, { digest } });
 }
 
-void ForwardLogic::on(const PeerDisconnected& event, Instant)
+void ForwardLogic::on(const PeerDisconnected& event, Instant now)
 {
+    loseHolder(event.peer, now);
     m_replicas.engineHeadroom().forget(event.peer);
     m_registryFollower.disconnected(event.peer);
     m_quotas.disconnected(event.peer);
--- a/src/request/forward/ForwardEvents.h
+++ b/src/request/forward/ForwardEvents.h
@@ -19,6 +19,7 @@
 struct RequestMetadata {
     std::string host;
     std::string path; ///< Without the query.
+    std::string callerRequestId; ///< Assigned by the caller; empty: none.
     RequestFingerprint fingerprint; ///< Doesn't include the account, which is looked up in the routing document.
     std::optional<SecretDigest> key; ///< Digest of the API key that the caller presented.
     std::optional<Duration> callerTimeout; ///< How long the caller waits for an answer, counted from when it sent the request.
@@ -141,6 +142,21 @@
 struct ControllerConnected {
     PeerId controller;
 };
+/// A connection to a process that holds the origins of streams was established.
+struct StreamHolderConnected {
+    PeerId holder;
+    Role role = Role::Controller;
+    std::string zone;
+};
+/// A holder has stored the records that it was sent.
+struct StreamRecordsConfirmed {
+    PeerId holder;
+    StreamRecordsHeld held;
+};
+struct StreamLookupReplied {
+    PeerId holder;
+    StreamLookupReply reply;
+};
 /// A controller reported which requests have crashed replicas.
 struct CrashesReported {
     CrashReport report;
@@ -172,6 +188,7 @@
 using Event = std::variant<Submit, CallerDisconnected, AnswerHead, AnswerBody, AnswerEnd, CallFailed, ReplicaAnswered, ReservationGranted,
     ReservationRefused, SidecarReservationReply, EngineHeadroomReported, PeerDisconnected, RegistryHeartbeatReceived, RegistryListReceived,
     PrefillFinished, PrefillFailed, DocumentReceived, DocumentConfirmed, RelayedAnnouncement, ReplicaWithdrawn, RegistryHeartbeat,
-    StageChange, ControllerConnected, CrashesReported, QuotaTotalsReceived, ReplicaLimitsReceived, PermitsReceived, Stop, Tick>;
+    StageChange, ControllerConnected, StreamHolderConnected, StreamRecordsConfirmed, StreamLookupReplied, CrashesReported,
+    QuotaTotalsReceived, ReplicaLimitsReceived, PermitsReceived, Stop, Tick>;
 
 } // namespace wrenhinge::forward
--- a/src/request/forward/ForwardFlow.h
+++ b/src/request/forward/ForwardFlow.h
@@ -69,7 +69,20 @@
     HeaderList headers;
     std::string body;
 
+    /// The search for the origin of a stream that the caller resumes.
+    struct Lookup {
+        std::set<PeerId> asked; ///< Holders that have not replied yet.
+        Instant until;
+        bool hasLostHolder = false; ///< The connection to a holder ended before it replied.
+    };
+
     // The stream to the caller.
+    StreamId stream;
+    std::optional<Lookup> lookup;
+    std::optional<StreamOrigin> origin; ///< Once the stream has begun: the only replicas that may continue it.
+    std::string softwareVersion; ///< Of the replica, when the current call was sent; empty: not known.
+    std::optional<Instant> eventsHeldUntil; ///< Set while no holder has confirmed the record of the stream.
+    std::vector<forward::Effect> heldEvents; ///< To be passed on then.
     bool hasStreamStarted = false;
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEventId;
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -126,6 +126,7 @@
     const auto& announcement = event.announcement;
     m_replicas.noteControllerContact(now);
     auto former = m_replicas.registry().newestRun(announcement.id);
+    auto formerVersion = m_replicas.softwareVersionOf(announcement.id);
     auto change = m_replicas.registry().announce(announcement, event.age, now);
     if (change == ReplicaRegistry::Change::Restarted) {
         m_effects.push_back(LogEvent { EventCode::UpstreamRestarted, {}, toString(announcement.run()) + " after " + toString(*former) });
@@ -135,6 +136,8 @@
     } else if (change != ReplicaRegistry::Change::Changed) {
         return false;
     }
+    if (formerVersion && *formerVersion != announcement.softwareVersion)
+        abandonOtherSoftware(announcement, now);
     bool isDraining = announcement.state == ReplicaState::Draining;
     m_effects.push_back(LogEvent { isDraining ? EventCode::UpstreamDraining : EventCode::UpstreamAnnounced, {},
         announcement.id + " of " + announcement.service + " at " + announcement.address + " software " + announcement.softwareVersion });
@@ -283,9 +286,8 @@
     flow.deadline = flow.arrivedAt + std::min(request.callerTimeout.value_or(flow.route->timeout), flow.route->timeout);
     if (flow.deadline <= now)
         return refuse(flow, ResultCode::DeadlineUnreachable, "the deadline had passed when the request was received", now);
-    flow.service = pickService(*flow.route);
     flow.lastEventId = request.resumeAfter;
-    m_budget.countRequest(flow.service, now);
+    flow.stream = streamIdOf(accountOf(flow).value_or(""), request.resumedRequest.value_or(request.callerRequestId));
     m_effects.push_back(LogEvent { EventCode::RequestReceived, flow.id,
         flow.route->name + " document " + std::to_string(m_table->version()) + " tokens " + std::to_string(request.promptTokens) + "+"
             + std::to_string(request.outputTokens) + " expected " + std::to_string(expectedTokensOf(flow)) + " left "
@@ -293,6 +295,18 @@
             + (flow.account ? " account " + flow.account->name : "") + resumptionText(request) });
     auto& longest = m_maxCallerTimeout[flow.route->name];
     longest = std::max(longest, request.callerTimeout.value_or(Duration::zero()));
+    if (isResumption(flow))
+        resume(flow, now);
+    else
+        beginAt(flow, pickService(*flow.route), now);
+}
+
+void ForwardLogic::beginAt(Flow& flow, const std::string& service, Instant now)
+{
+    flow.service = service;
+    m_budget.countRequest(flow.service, now);
+    if (refuseIfVersionIsGone(flow, now))
+        return;
     if (crashesReplicas(flow, now))
         return refuseAsCrashing(flow, now);
     if (mayOutliveProcess(flow))
@@ -326,8 +340,9 @@
             refuseAtLimit(flow, "the request rate limits of the service's replicas are used up", atLimit, now);
         return;
     }
-    auto criteria = criteriaOf(flow);
-    if (m_replicas.hasReady(criteria.service, criteria.kind))
+    if (refuseIfVersionIsGone(flow, now))
+        return;
+    if (m_replicas.hasReady(criteriaOf(flow)))
         refuse(flow, ResultCode::Overloaded, "no replica of the service can take another call", now);
     else
         refuse(flow, ResultCode::NoUpstream, "no replica of the service is known", now);
@@ -389,6 +404,8 @@
 {
     ReplicaTable::Criteria criteria;
     criteria.service = flow.service;
+    if (flow.origin)
+        criteria.softwareVersion = flow.origin->softwareVersion;
     criteria.maxCalls = callLimit(flow.table->service(flow.service));
     if (const auto* rule = engineRule(flow)) {
         criteria.kind = UpstreamKind::Decode;
@@ -417,6 +434,7 @@
     flow.stage = Flow::Stage::Running;
     flow.tried.insert(choice->run);
     flow.hasLostKvCache = false;
+    flow.softwareVersion = m_replicas.softwareVersionOf(choice->run.id).value_or("");
     Send send { flow.id, {}, choice->run, choice->address, flow.deadline - now, std::nullopt, false, std::nullopt, {}, {}, {} };
     send.account = accountOf(flow);
     // A reservation at a sidecar has been counted as the call that it is for.
@@ -518,6 +536,8 @@
     }
     if (flow.isCalling && flow.stage == Flow::Stage::Reserving)
         nextCheckAt = std::min(nextCheckAt, flow.sentAt + reservationReplyTimeout);
+    if (flow.eventsHeldUntil)
+        nextCheckAt = std::min(nextCheckAt, *flow.eventsHeldUntil);
     bool isIdempotentCall = flow.route->repeatability == Repeatability::Idempotent && !flow.hasHead && flow.isCalling;
     bool isResumable = flow.route->repeatability == Repeatability::Resumable && flow.hasStreamStarted && flow.isCalling;
     if (isIdempotentCall) {
@@ -565,6 +585,15 @@
 /// The current call makes no progress: continues at another replica if the route and the budget allow it, else waits for its end.
 void ForwardLogic::checkProgress(Flow& flow, Instant now)
 {
+    if (flow.lookup) {
+        endLookup(flow);
+        return refuseUnfound(flow, now);
+    }
+    if (flow.eventsHeldUntil && *flow.eventsHeldUntil <= now) {
+        m_streams.notReplied(flow.stream, now);
+        passOnHeldEvents(flow);
+        return scheduleCheck(flow);
+    }
     if (m_awaitingPermits.erase({ rankOf(flow), flow.id }))
         return runOrFail(flow, now);
     if (flow.isCalling && flow.stage == Flow::Stage::Reserving) {
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -6,6 +6,8 @@
  *   is told "not run" only if every send of the request is known not to have run.
  * - An answer that is no stream is buffered completely before it is passed on, so that an incomplete one can still be replaced. A
  *   stream is passed on event by event, and resumes at another replica after the last complete event if the route allows it.
+ * - A stream continues only at replicas of the service and the software version that began it, also if its caller resumes it at another
+ *   gateway. If no process knows these, the request is refused.
  * - A request that crashes the replicas which run it is refused, whichever gateway receives it (CrashTracker).
  * - If the document has accounts, a request runs only for the account whose key its caller presents.
  * - A request of an account that has used up its quota is refused before any other resource is used.
@@ -21,6 +23,7 @@
 #include "request/fleet/RegistryFollower.h"
 #include "request/fleet/ReplicaLimits.h"
 #include "request/fleet/SharedRetryBudget.h"
+#include "request/fleet/StreamDirectoryClient.h"
 #include "request/forward/ForwardEffects.h"
 #include "request/forward/ForwardEvents.h"
 #include "request/forward/ForwardFlow.h"
@@ -116,6 +119,9 @@
     void on(const RegistryHeartbeat&, Instant);
     void on(const StageChange&, Instant);
     void on(const forward::ControllerConnected&, Instant);
+    void on(const forward::StreamHolderConnected&, Instant);
+    void on(const forward::StreamRecordsConfirmed&, Instant);
+    void on(const forward::StreamLookupReplied&, Instant);
     void on(const forward::CrashesReported&, Instant);
     void on(const forward::QuotaTotalsReceived&, Instant);
     void on(const forward::ReplicaLimitsReceived&, Instant);
@@ -133,6 +139,23 @@
     void waitForDocument(Flow&, Instant);
     void beginRequestsAwaitingDocument(Instant);
     void begin(Flow&, Instant);
+    void beginAt(Flow&, const std::string& service, Instant);
+    // Streams that may be resumed (ForwardStreams.cpp).
+    void recordStream(Flow&, Instant);
+    void passOn(Flow&, forward::Effect);
+    void passOnHeldEvents(Flow&);
+    [[nodiscard]] std::vector<RequestId> flowsAwaitingHolders(StreamId) const;
+    [[nodiscard]] static bool isResumption(const Flow&);
+    void resume(Flow&, Instant);
+    void askHolder(Flow&, PeerId);
+    void refuseIfUnknown(Flow&, Instant);
+    void refuseUnfound(Flow&, Instant);
+    void loseHolder(PeerId, Instant);
+    void endLookup(Flow&);
+    void resumeAt(Flow&, const StreamLookupReply&, Instant);
+    bool refuseIfVersionIsGone(Flow&, Instant);
+    void refuseResumption(Flow&, const std::string& reason, std::optional<Duration> retryAfter, Instant);
+    void abandonOtherSoftware(const Announcement& newest, Instant);
     // Authentication and quotas of client accounts (ForwardAccounts.cpp).
     bool authenticate(Flow&, Instant);
     void refuseRevokedKeys(Instant);
@@ -235,6 +258,8 @@
     bool m_shouldAdmit = false; ///< Retry admission of the queued requests at the end of this step.
     Instant m_retryAdmissionAt = Instant::max(); ///< When to ask full replicas again.
     std::map<std::string, Duration> m_maxCallerTimeout; ///< By route: the longest timeout seen, taken to be that of a first attempt.
+    StreamDirectoryClient m_streams;
+    std::set<std::pair<StreamId, RequestId>> m_awaitingHolders; ///< Requests that wait for a holder's reply about a stream.
     CrashTracker m_crashes;
     std::set<RequestFingerprint> m_newCrashFingerprints; ///< Requests with these that have not run are refused at the end of the step.
     LoadShedder m_shedder; ///< For plain services; engines have reservations.
--- a/src/request/forward/ForwardReservations.cpp
+++ b/src/request/forward/ForwardReservations.cpp
@@ -36,7 +36,7 @@
     if (!rule || rule->engine.reservationTimeout <= Duration::zero() || !flow.request.promptTokens)
         return false;
     // Without any decode replica there is nothing to wait for.
-    if (!m_replicas.hasReady(flow.service, UpstreamKind::Decode))
+    if (!m_replicas.hasReady(criteriaOf(flow)))
         return false;
     flow.stage = Flow::Stage::Waiting;
     flow.waiter = ReservationQueue::makeWaiter(flow.id, rankOf(flow), flow.arrivedAt, admitBy(flow), now);
--- a/src/request/forward/ReplicaTable.cpp
+++ b/src/request/forward/ReplicaTable.cpp
@@ -69,16 +69,23 @@
 }
 
 /// A replica without a stage (UpstreamKind::Plain) serves both prefill and decode.
-bool ReplicaTable::serves(const Announcement& announcement, const std::string& service, UpstreamKind kind)
+bool ReplicaTable::serves(const Announcement& announcement, const Criteria& criteria)
 {
-    bool isOfKind = announcement.kind == kind || announcement.kind == UpstreamKind::Plain;
-    return announcement.service == service && isOfKind && announcement.state == ReplicaState::Ready;
+    bool isOfKind = announcement.kind == criteria.kind || announcement.kind == UpstreamKind::Plain;
+    bool isOfVersion = !criteria.softwareVersion || announcement.softwareVersion == *criteria.softwareVersion;
+    return announcement.service == criteria.service && isOfKind && isOfVersion && announcement.state == ReplicaState::Ready;
 }
 
-bool ReplicaTable::hasReady(const std::string& service, UpstreamKind kind) const
+bool ReplicaTable::hasReady(const Criteria& criteria) const
 {
     const auto& entries = m_registry.entries();
-    return std::any_of(entries.begin(), entries.end(), [&](const auto& item) { return serves(item.second.announcement, service, kind); });
+    return std::any_of(entries.begin(), entries.end(), [&](const auto& item) { return serves(item.second.announcement, criteria); });
+}
+
+std::optional<std::string> ReplicaTable::softwareVersionOf(const std::string& id) const
+{
+    auto it = m_registry.entries().find(id);
+    return it == m_registry.entries().end() ? std::nullopt : std::optional(it->second.announcement.softwareVersion);
 }
 
 std::optional<ReplicaTable::Choice> ReplicaTable::choose(const Criteria& criteria, const std::set<ReplicaRun>& tried, Instant now)
@@ -86,7 +93,7 @@
     const ReplicaRegistry::Entry* best = nullptr;
     std::tuple<bool, bool, bool, double> bestRank;
     for (const auto& [id, entry] : m_registry.entries()) {
-        if (!serves(entry.announcement, criteria.service, criteria.kind) || entry.isChanging(now))
+        if (!serves(entry.announcement, criteria) || entry.isChanging(now))
             continue;
         // While all engines of the subset are full, those outside it are about as full, and their sidecars would have to be asked one by
         // one.
--- a/src/request/forward/ReplicaTable.h
+++ b/src/request/forward/ReplicaTable.h
@@ -42,6 +42,7 @@
     struct Criteria {
         std::string service;
         UpstreamKind kind = UpstreamKind::Plain;
+        std::optional<std::string> softwareVersion; ///< The only version of the replicas' software that will do; unset: any.
         std::uint32_t tokens = 0; ///< KV memory that the request needs at an engine.
         std::uint32_t promptTokens = 0; ///< The part of it that is needed from the start.
         std::uint64_t minFreeTokens = 0; ///< An engine with less free KV memory than this would refuse the request.
@@ -80,8 +81,10 @@
     /// The subset of the known engines that this gateway uses.
     EngineSubset& subset() { return m_subset; }
     [[nodiscard]] const EngineSubset& subset() const { return m_subset; }
-    /// Whether any replica of this kind accepts work, however loaded it is.
-    [[nodiscard]] bool hasReady(const std::string& service, UpstreamKind) const;
+    /// Whether any replica of the service, kind and software version accepts work, however loaded it is.
+    [[nodiscard]] bool hasReady(const Criteria&) const;
+    /// The software version of the newest run of this replica; unset if the run is not known or has ended.
+    [[nodiscard]] std::optional<std::string> softwareVersionOf(const std::string& id) const;
     /// The replica's run and the version of its software, for a log.
     [[nodiscard]] std::string describe(const ReplicaRun&) const;
     /// The availability zone of a replica's run, or empty if that is not known or has ended.
@@ -106,7 +109,7 @@
     [[nodiscard]] double meanSeconds(const std::string& service, UpstreamKind) const;
 
 private:
-    [[nodiscard]] static bool serves(const Announcement&, const std::string& service, UpstreamKind);
+    [[nodiscard]] static bool serves(const Announcement&, const Criteria&);
     [[nodiscard]] double costOf(const ReplicaRegistry::Entry&, const Load&, const EngineHeadroomTable::Headroom*, const Criteria&) const;
     [[nodiscard]] bool isSuspect(const ReplicaRegistry::Entry&, const Load&, Instant now) const;
 
--- a/test/fuzz/FuzzTest.cpp
+++ b/test/fuzz/FuzzTest.cpp
@@ -267,7 +267,9 @@
         QuotaTotals { { { AccountId(7), 3300, 5000, 0, true } }, true },
         ReplicaRateLimits { { { "i-1", {}, 1.5, 1 }, { "i-2", {}, {}, 2 } } },
         ReplicaUsageReport { { { { AccountId(7), 1, 1.5, true } }, true, true }, { 12, 10, 0.1, { { LimitId(7), 1, 0, 2, 3 } } } },
-        ReplicaUsageTotals { { { { AccountId(7), 1, 1, 0, true } }, true }, { 20, 12, { { LimitId(7), 2 } } } } };
+        ReplicaUsageTotals { { { { AccountId(7), 1, 1, 0, true } }, true }, { 20, 12, { { LimitId(7), 2 } } } },
+        StreamRecords { { { StreamId(7), { "app", "v1" }, 15s } } }, StreamRecordsHeld { { StreamId(7) } }, StreamLookup { StreamId(7) },
+        StreamLookupReply { StreamId(7), StreamKnowledge::Known, { "app", "v1" } } };
     std::vector<std::string> bytes;
     for (const auto& sample : list)
         bytes.push_back(encode(sample));
--- a/test/support/ForwardBench.h
+++ b/test/support/ForwardBench.h
@@ -62,13 +62,14 @@
     }
 
     Bench& replica(const std::string& id, UpstreamKind kind = UpstreamKind::Plain, std::uint64_t sequence = 1,
-        ReplicaState state = ReplicaState::Ready, ReplicaStart start = {})
+        ReplicaState state = ReplicaState::Ready, ReplicaStart start = {}, const std::string& softwareVersion = "v1")
     {
         Announcement announcement;
         announcement.id = id;
         announcement.service = kind == UpstreamKind::Plain ? "plain" : "engine";
         announcement.address = id + ":80";
         announcement.zone = "zone-1";
+        announcement.softwareVersion = softwareVersion;
         announcement.slots = 6;
         announcement.kind = kind;
         announcement.state = state;
@@ -92,10 +93,9 @@
     }
 
     RequestId submit(const std::string& path, std::optional<Duration> callerTimeout = {}, RequestFingerprint fingerprint = {},
-        const std::string& key = "")
+        const std::string& key = "", RequestMetadata request = {})
     {
         RequestId id { PeerId(1), ++m_sequence };
-        RequestMetadata request;
         if (!key.empty())
             request.key = SecretDigest::of(key);
         request.host = "Desk.example:8080";
