Callers that resume a stream wait for capacity like callers with a new request

Cause: a caller with less time left than others on its route is taken for one that was refused before and is late already; one that resumes a stream has less time left because it has read events.

--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -369,7 +369,8 @@
 /// 150 ms while others waited for 0.6 s.
 Duration ForwardLogic::timeSpentBefore(const Flow& flow) const
 {
-    if (!flow.request.callerTimeout)
+    // One that resumes a stream has spent its time on the events that it has already.
+    if (!flow.request.callerTimeout || isResumption(flow))
         return Duration::zero();
     auto spent = m_maxCallerTimeout.at(flow.route->name) - *flow.request.callerTimeout;
     return spent >= minOverloadRetryAfter ? spent : Duration::zero();
--- a/test/correctness/StreamVersionTest.cpp
+++ b/test/correctness/StreamVersionTest.cpp
@@ -411,3 +411,21 @@
         CHECK(outcome.begun > 50);
     }
 }
+
+TEST_CASE("a caller that resumes a stream waits for capacity like one with a new request, not like one that was refused before")
+{
+    Bench bench;
+    bench.serve().replica("d1", UpstreamKind::Decode);
+    connectHolders(bench);
+    bench.post(CallerDisconnected { submit(bench, "q0") });
+    RequestMetadata request;
+    request.callerRequestId = "q2";
+    request.resumedRequest = "q1";
+    request.resumeAfter = 5;
+    bench.submit("/resumable/x", 8s, {}, "", request);
+    bench.post(StreamLookupReplied { holder, { streamIdOf("", "q1"), StreamKnowledge::Known, origin } });
+    auto full = bench.only<ReserveAtReplica>();
+    bench.post(ReservationRefused { full.id, full.attempt, true });
+    bench.wait(ReservationQueue::maxLateWait + 10ms);
+    CHECK(bench.effects<Refuse>().empty());
+}
