A request that may have run is never refused as not run after a second prefill

What callers saw: 503 OVERLOADED with Retry-After, outcome not_run, for a request that a replica may have run. It needs a route whose requests may run again, a first run that was cut off while the prefill replica restarted, and no decode replica left once the prompt was read anew. Cause: runOrFail refused by the state of the replicas alone. Found by reading, while resumed streams were given the same refusal. It now ends as UPSTREAM_FAILED if any send may have run.

--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -335,6 +335,8 @@
         return refuseAsCrashing(flow, now);
     if (send(flow, now))
         return;
+    if (flow.runs)
+        return refuse(flow, ResultCode::UpstreamFailed, "no other replica can take the request", now);
     if (auto atLimit = replicasAtLimit(flow, now); !atLimit.empty()) {
         if (!waitForPermit(flow, now))
             refuseAtLimit(flow, "the request rate limits of the service's replicas are used up", atLimit, now);
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -470,6 +470,22 @@
     CHECK(bench.effects<EndStream>().size() == 1);
 }
 
+TEST_CASE("a request that may have run is not refused as not run when no replica is left after its second prefill")
+{
+    Bench bench;
+    bench.serve().replica("d", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill);
+    auto first = bench.run(bench.submit("/resumable/x"));
+    bench.restart("p", UpstreamKind::Prefill);
+    bench.replica("e", UpstreamKind::Decode);
+    bench.post(CallFailed { first.id, first.attempt, true, "reset" });
+    auto prefill = bench.only<Send>();
+    REQUIRE(prefill.isPrefill);
+    bench.replica("e", UpstreamKind::Decode, 2, ReplicaState::Draining);
+    bench.post(PrefillFinished { prefill.id, prefill.attempt, "kv-2" });
+    CHECK(bench.only<Refuse>().error.code == ResultCode::UpstreamFailed);
+    CHECK(!bench.only<Refuse>().error.retryAfter);
+}
+
 TEST_CASE("a retry copies the KV cache that the prefill replica still holds, as long as that replica is ready")
 {
     // Guards against streams at a decode replica that stall for 0.3 s and more.
