--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -8,31 +8,15 @@
 
 namespace {
 
-    /// An idempotent call without an answer is sent to another replica after this share of its target, so that the second answer can
-    /// still be in time. It must also have taken four times the mean latency.
-    constexpr double retryAfterTargetShare = 0.55;
-    constexpr double retryAfterMeanMultiple = 4;
-    /// A resumable stream without an event for this long is resumed at another replica. Callers time out after two seconds at the earliest.
-    constexpr Duration streamStallTimeout = 1400ms;
-    /// A replica replies to a reservation within a round trip. One that has become unreachable while an idle connection to it is open
-    /// doesn't reply: without this timeout callers gave up after 3.6 s, although other replicas had capacity. Long enough for a few
-    /// round trips, also over a link with occasional packet loss.
-    constexpr Duration reservationReplyTimeout = 120ms;
-    /// The prefill of the longest prompts in use takes 0.2 s, and reservations keep the queues at prefill replicas short: in a surge 99
-    /// of 100 prefills end within 0.43 s. One that takes longer than this is at an unreachable replica. The decode replica then runs the
-    /// prefill itself, and the first event still meets the target; with a longer timeout it came after 2.7 s.
-    constexpr Duration prefillTimeout = 600ms;
     /// A request that waits for a document may use up its caller's timeout divided by this; the rest is left for a retry.
     constexpr int documentWaitDivisor = 4;
     /// The timeout of a caller that states none, until its route is known.
     constexpr Duration defaultCallerTimeout = 1s;
-    /// Memory to reserve for an answer, as a multiple of the caller's estimate of its length, which is right only at the median. In
-    /// eight test days of both sites, 1.0, 1.3, 1.6 and 2.0 times the estimate led to 12, 8, 5 and 2 preempted streams a day and
-    /// scores of 0.669, 0.678, 0.673 and 0.672 (three runs each): more memory per request means fewer requests at once.
+    /// Memory to reserve for an answer, as a multiple of the caller's estimate of its length, which is right only at the median. More
+    /// memory per request means fewer requests at once, less means more preempted streams.
     constexpr double outputReservationFactor = 1.3;
     /// The memory use of an engine peaks within about a second, when a new answer has grown to its expected length divided by this. With
-    /// less free memory than that, a request is refused there. When only the prompt was compared with the free memory, gateways asked
-    /// for up to 20 reservations for one request.
+    /// less free memory than that, a request is refused there, so it isn't worth asking for a reservation.
     constexpr std::uint32_t outputDivisorAtPeak = 4;
     /// Without an estimate of the caller, the expected length of an answer is its upper limit divided by this.
     constexpr std::uint32_t defaultOutputDivisor = 2;
@@ -111,130 +95,6 @@
     beginRequestsAwaitingDocument(now);
 }
 
-void ForwardLogic::on(const RelayedAnnouncement& event, Instant now)
-{
-    const auto& [announcement, age] = event;
-    bool isEngine = announcement.kind != UpstreamKind::Plain;
-    bool mayBeChosen = announcement.state == ReplicaState::Draining || !m_replicas.subset().isFull(announcement.service, announcement.kind);
-    if (apply(event, now) && isEngine && mayBeChosen)
-        selectEngines(now);
-}
-
-/// \returns whether the replica is new, restarted or changed.
-bool ForwardLogic::apply(const RelayedAnnouncement& event, Instant now)
-{
-    const auto& announcement = event.announcement;
-    m_replicas.noteControllerContact(now);
-    auto former = m_replicas.registry().newestRun(announcement.id);
-    auto formerVersion = m_replicas.softwareVersionOf(announcement.id);
-    auto change = m_replicas.registry().announce(announcement, event.age, now);
-    if (change == ReplicaRegistry::Change::Restarted) {
-        m_effects.push_back(LogEvent { EventCode::UpstreamRestarted, {}, toString(announcement.run()) + " after " + toString(*former) });
-        m_effects.push_back(DropConnections { *former });
-        abandonFormerRuns(announcement.run(), now);
-        m_replicas.forgetEnded();
-    } else if (change != ReplicaRegistry::Change::Changed) {
-        return false;
-    }
-    if (formerVersion && *formerVersion != announcement.softwareVersion)
-        abandonOtherSoftware(announcement, now);
-    bool isDraining = announcement.state == ReplicaState::Draining;
-    m_effects.push_back(LogEvent { isDraining ? EventCode::UpstreamDraining : EventCode::UpstreamAnnounced, {},
-        announcement.id + " of " + announcement.service + " at " + announcement.address + " software " + announcement.softwareVersion });
-    return true;
-}
-
-void ForwardLogic::on(const ReplicaWithdrawn& event, Instant now)
-{
-    if (apply(event, now))
-        selectEngines(now);
-}
-
-/// \returns whether the end of this run was not known yet.
-bool ForwardLogic::apply(const ReplicaWithdrawn& event, Instant now)
-{
-    if (!m_replicas.registry().withdraw(event.run(), now))
-        return false;
-    m_effects.push_back(DropConnections { event.run() });
-    m_effects.push_back(LogEvent { EventCode::UpstreamDraining, {}, toString(event.run()) + " has ended" });
-    return true;
-}
-
-void ForwardLogic::on(const RegistryHeartbeat& event, Instant now)
-{
-    m_replicas.noteControllerContact(now);
-    m_budget.setGateways(event.gateways, now);
-    m_quotas.setGateways(m_budget.gateways());
-    m_limits.permits().setGateways(m_budget.gateways(), now);
-    m_replicas.registry().renew(event, now);
-    m_replicas.registry().removeExpired(now);
-    m_replicas.forgetEnded();
-    m_crashes.dropRefuted(m_replicas.registry(), now);
-    m_limits.dropEnded(m_replicas.registry(), now);
-    selectEnginesIfDue(now);
-}
-
-void ForwardLogic::on(const StageChange& event, Instant now)
-{
-    if (m_replicas.registry().changeStage(event, now))
-        m_effects.push_back(
-            LogEvent { EventCode::StageChanging, {}, event.id + " for " + std::to_string(event.lasts / 1ms) + " ms at most" });
-}
-
-// --- Replicas that restart --------------------------------------------------------------------------------------
-
-/// Drops what the former runs of a replica held for requests: reservations, KV caches, and the calls that ask for these. A call that
-/// runs a request is left to end by itself, at the latest with a connection reset: it may have run, and an answer that is already in
-/// transit is valid. The restart alone never makes it count as not run.
-void ForwardLogic::abandonFormerRuns(const ReplicaRun& newest, Instant now)
-{
-    // Abandoning a call may end its request, so m_flows is not iterated meanwhile. The order by id makes replays of the same events
-    // spend the remaining retry budget on the same requests.
-    std::set<RequestId> ids;
-    for (const auto& [id, flow] : m_flows)
-        ids.insert(id);
-    for (const auto& id : ids) {
-        if (auto it = m_flows.find(id); it != m_flows.end())
-            abandonFormerRuns(it->second, newest, now);
-    }
-}
-
-void ForwardLogic::abandonFormerRuns(Flow& flow, const ReplicaRun& newest, Instant now)
-{
-    if (flow.prefillReplica.isBefore(newest))
-        flow.prefillReplica = {};
-    // Nothing is released at the replica: the new run issues its own ids, and may have given the same one to another request.
-    if (flow.sentKvSource && flow.sentKvSource->replica.isBefore(newest)) {
-        flow.sentKvSource.reset();
-        flow.hasLostKvCache = flow.isCalling;
-    }
-    if (flow.reservation && flow.reservation->replica.isBefore(newest)) {
-        m_replicas.release(flow.reservation->replica, reservedTokensOf(flow));
-        flow.reservation.reset();
-        endSidecarReservation(flow, false);
-    }
-    if (flow.isCalling && flow.replica.isBefore(newest))
-        abandonCallToFormerRun(flow, now);
-}
-
-/// Cancels a reservation or prefill call to a former run. An answer to it is ignored, as it may come from the new run at the same
-/// address.
-void ForwardLogic::abandonCallToFormerRun(Flow& flow, Instant now)
-{
-    if (flow.stage == Flow::Stage::Running)
-        return;
-    m_effects.push_back(CancelCall { flow.id, flow.attempt });
-    m_effects.push_back(LogEvent { EventCode::RequestRetried, flow.id, toString(flow.replica) + " has restarted" });
-    endCall(flow, CallOutcome::Abandoned, now);
-    if (flow.stage == Flow::Stage::Reserving) {
-        endSidecarReservation(flow, false);
-        return requeue(flow);
-    }
-    // A run that has ended doesn't count towards the route's attempts, but the call to it has cost the service work, so another prefill
-    // must fit into the retry budget.
-    retryPrefillOrRun(flow, m_budget.take(flow.service, now), now);
-}
-
 // --- Arrival ----------------------------------------------------------------------------------------------------
 
 void ForwardLogic::on(const Submit& event, Instant now)
@@ -366,9 +226,8 @@
 }
 
 /// Estimates how much of its timeout the caller had used up before this attempt. A caller that retries after a refusal for lack of
-/// capacity has less time left than others on its route, by the Retry-After at least. Timeouts differ at the first attempt too: with a
-/// spread of 15%, 11.9 to 14 s, and every difference taken for a retry, two in three requests were treated as late and refused after
-/// 150 ms while others waited for 0.6 s.
+/// capacity has less time left than others on its route, by the Retry-After at least. Smaller differences are no sign of a retry, as
+/// timeouts differ at the first attempt too.
 Duration ForwardLogic::timeSpentBefore(const Flow& flow) const
 {
     // One that resumes a stream has spent its time on the events that it has already.
@@ -452,8 +311,7 @@
         send.resumeAfter = flow.lastEventId;
     else
         send.source = flow.sentKvSource = std::exchange(flow.kvSource, std::nullopt);
-    // A decode replica that prefills the prompt again delays the streams that run there: 5,000 tokens delay them by 0.2 s. The prefill
-    // replica still caches most of the prompt: 20,000 to 45,000 tokens were copied instead in a test day of 40 s with crashes.
+    // A decode replica that prefills the prompt again delays the streams that run there. The prefill replica still caches most of it.
     if (!send.source && flow.prefillReplica != choice->run && m_replicas.isReady(flow.prefillReplica))
         send.cacheAddress = flow.prefillReplicaAddress;
     startCall(flow, *choice, now);
@@ -528,102 +386,4 @@
     }
 }
 
-// --- Time -------------------------------------------------------------------------------------------------------
-
-void ForwardLogic::scheduleCheck(Flow& flow)
-{
-    auto nextCheckAt = flow.deadline;
-    if (flow.isCalling && flow.stage == Flow::Stage::Prefilling) {
-        auto byMeanLatency = fromSeconds(m_replicas.meanSeconds(flow.service, UpstreamKind::Prefill) * retryAfterMeanMultiple);
-        nextCheckAt = std::min(nextCheckAt, flow.sentAt + std::max(prefillTimeout, byMeanLatency));
-    }
-    if (flow.isCalling && flow.stage == Flow::Stage::Reserving)
-        nextCheckAt = std::min(nextCheckAt, flow.sentAt + reservationReplyTimeout);
-    if (flow.eventsHeldUntil)
-        nextCheckAt = std::min(nextCheckAt, *flow.eventsHeldUntil);
-    bool isIdempotentCall = flow.route->repeatability == Repeatability::Idempotent && !flow.hasHead && flow.isCalling;
-    bool isResumable = flow.route->repeatability == Repeatability::Resumable && flow.hasStreamStarted && flow.isCalling;
-    if (isIdempotentCall) {
-        auto byTargetShare = fromSeconds(toSeconds(flow.route->target) * retryAfterTargetShare);
-        auto byMeanLatency = fromSeconds(m_replicas.meanSeconds(flow.service, UpstreamKind::Plain) * retryAfterMeanMultiple);
-        nextCheckAt = std::min(nextCheckAt, flow.sentAt + std::max(byTargetShare, byMeanLatency));
-    } else if (isResumable) {
-        nextCheckAt = std::min(nextCheckAt, flow.lastEventAt + streamStallTimeout);
-    }
-    if (nextCheckAt == flow.nextCheckAt)
-        return;
-    m_wakes.erase({ flow.nextCheckAt, flow.id });
-    flow.nextCheckAt = nextCheckAt;
-    m_wakes.insert({ nextCheckAt, flow.id });
-}
-
-void ForwardLogic::on(const Tick&, Instant now)
-{
-    beginRequestsAwaitingDocument(now);
-    fetchRegistry(now);
-    refuseExpired(now);
-    reportLoad(now);
-    reportQuotaUsage(now);
-    requestPermits(now);
-    if (m_retryAdmissionAt <= now) {
-        m_retryAdmissionAt = Instant::max();
-        m_shouldAdmit = true;
-    }
-    while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
-        auto id = m_wakes.begin()->second;
-        m_wakes.erase(m_wakes.begin());
-        auto it = m_flows.find(id);
-        if (it == m_flows.end())
-            continue;
-        it->second.nextCheckAt = {};
-        if (!it->second.route)
-            refuse(it->second, ResultCode::ConfigUnavailable, "no routing document is in effect yet", now);
-        else if (it->second.deadline <= now)
-            timeOut(it->second, now);
-        else
-            checkProgress(it->second, now);
-    }
-}
-
-/// The current call makes no progress: continues at another replica if the route and the budget allow it, else waits for its end.
-void ForwardLogic::checkProgress(Flow& flow, Instant now)
-{
-    if (flow.lookup) {
-        endLookup(flow);
-        return refuseUnfound(flow, now);
-    }
-    if (flow.eventsHeldUntil && *flow.eventsHeldUntil <= now) {
-        m_streams.notReplied(flow.stream, now);
-        passOnHeldEvents(flow);
-        return scheduleCheck(flow);
-    }
-    if (m_awaitingPermits.erase({ rankOf(flow), flow.id }))
-        return runOrFail(flow, now);
-    if (flow.isCalling && flow.stage == Flow::Stage::Reserving) {
-        m_effects.push_back(CancelCall { flow.id, flow.attempt });
-        endSidecarReservation(flow, false);
-        return on(ReservationRefused { flow.id, flow.attempt, false }, now);
-    }
-    if (flow.isCalling && flow.stage == Flow::Stage::Prefilling) {
-        m_effects.push_back(CancelCall { flow.id, flow.attempt });
-        endCall(flow, CallOutcome::Failed, now);
-        return runOrFail(flow, now);
-    }
-    // While replicas are full, a second call would only make both late.
-    bool isOverloaded = flow.stage == Flow::Stage::Running && m_shedder.refusedShare(flow.service) > 0;
-    bool mayGoOn = !isOverloaded && flow.isCalling && flow.stage == Flow::Stage::Running && flow.runs + 1 < flow.route->maxAttempts
-        && flow.sends < maxSends && !crashesReplicas(flow, now) && choose(flow, criteriaOf(flow), flow.tried, now);
-    if (!mayGoOn || !m_budget.take(flow.service, now)) {
-        flow.nextCheckAt = flow.deadline;
-        m_wakes.insert({ flow.nextCheckAt, flow.id });
-        return;
-    }
-    m_effects.push_back(CancelCall { flow.id, flow.attempt });
-    endCall(flow, CallOutcome::Failed, now);
-    ++flow.runs;
-    m_effects.push_back(LogEvent { EventCode::RequestRetried, flow.id, "no answer from " + toString(flow.replica) + " yet" });
-    if (!send(flow, now))
-        internalError("the replica chosen for a retry is no longer available");
-}
-
 } // namespace wrenhinge
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -55,8 +55,8 @@
     /// A document that no controller has confirmed takes effect after this long, so that a site that is cut off continues to serve.
     static constexpr Duration unconfirmedDocumentDelay = 1500ms;
     /// A request that arrives before any document waits for one this long, but at most a quarter of its caller's timeout. After a power
-    /// loss of a whole site, the first gateways receive requests 0.2 to 0.6 s before the controllers have a leader. Refusing these
-    /// requests with a Retry-After made all of them late; a longer wait would make those late that could have been retried in time.
+    /// loss of a whole site, the first gateways receive requests before the controllers have a leader, and a refusal would make all of
+    /// them late. A longer wait would make those late that could have been retried in time.
     static constexpr Duration maxDocumentWait = 500ms;
     /// Interval of load reports to the controllers: several within the time of a stage change, which takes seconds.
     static constexpr Duration loadReportInterval = 1s;
@@ -155,7 +155,6 @@
     void resumeAt(Flow&, const StreamLookupReply&, Instant);
     bool refuseIfVersionIsGone(Flow&, Instant);
     void refuseResumption(Flow&, const std::string& reason, std::optional<Duration> retryAfter, Instant);
-    void abandonOtherSoftware(const Announcement& newest, Instant);
     // Authentication and quotas of client accounts (ForwardAccounts.cpp).
     bool authenticate(Flow&, Instant);
     void refuseRevokedKeys(Instant);
@@ -202,10 +201,11 @@
     void refuseAsCrashing(Flow&, Instant);
     void recordIfRefused(RequestFingerprint, Instant);
     void refuseNewCrashFingerprints(Instant);
-    // Replicas that restart.
+    // Replicas that restart or change their software (ForwardReplicas.cpp).
     void abandonFormerRuns(const ReplicaRun& newest, Instant);
     void abandonFormerRuns(Flow&, const ReplicaRun& newest, Instant);
     void abandonCallToFormerRun(Flow&, Instant);
+    void abandonOtherSoftware(const Announcement& newest, Instant);
     void releaseKvSource(Flow&, Instant);
     void releaseReservation(Flow&, Instant);
     std::optional<ReplicaTable::Choice> chooseForRun(Flow&, Instant);
--- a/src/request/forward/ForwardStreams.cpp
+++ b/src/request/forward/ForwardStreams.cpp
@@ -207,30 +207,4 @@
     refuseUntil(flow, ResultCode::NotResumable, reason, retryAfter, now);
 }
 
-// --- Replicas that change their software ------------------------------------------------------------------------
-
-/// The replica has other software than its former announcement said, and calls that were sent since may have reached either. A stream that
-/// is to continue there continues elsewhere. One that has not begun is not resumed, as its version is not known.
-void ForwardLogic::abandonOtherSoftware(const Announcement& newest, Instant now)
-{
-    std::set<RequestId> ids;
-    for (const auto& [id, flow] : m_flows) {
-        if (flow.isCalling && flow.stage == Flow::Stage::Running && flow.replica.id == newest.id)
-            ids.insert(id);
-    }
-    for (const auto& id : ids) {
-        auto it = m_flows.find(id);
-        if (it == m_flows.end())
-            continue;
-        auto& flow = it->second;
-        if (!flow.origin) {
-            flow.softwareVersion.clear();
-        } else if (flow.origin->softwareVersion != newest.softwareVersion) {
-            m_effects.push_back(CancelCall { flow.id, flow.attempt });
-            endCall(flow, CallOutcome::Abandoned, now);
-            resendOrFail(flow, true, newest.id + " has other software now", now);
-        }
-    }
-}
-
 } // namespace wrenhinge
