--- a/test/correctness/StreamVersionTest.cpp
+++ b/test/correctness/StreamVersionTest.cpp
@@ -4,6 +4,7 @@
  */
 #include "ForwardBench.h"
 #include "StreamFleet.h"
+#include "message/Codec.h"
 
 #include <doctest/doctest.h>
 
@@ -429,3 +430,38 @@
     bench.wait(ReservationQueue::maxLateWait + 10ms);
     CHECK(bench.effects<Refuse>().empty());
 }
+
+// --- Releases -------------------------------------------------------------------------------------------------------
+
+namespace {
+
+/// As the release before sends it.
+struct FormerHello {
+    PeerId id;
+    Role role = Role::Gateway;
+    std::string name;
+    std::string site;
+    std::string zone;
+    std::string adminAddress;
+    DiskId disk;
+    MSGPACK_DEFINE(id, role, name, site, zone, adminAddress, disk)
+};
+
+} // namespace
+
+TEST_CASE("processes of the release before understand a Hello, and are not sent messages that they don't know")
+{
+    // Guards against links that end with each stream while a site is upgraded.
+    Hello hello;
+    hello.name = "c";
+    hello.messageTypes = std::variant_size_v<Message>;
+    CHECK(knows<StreamRecords>(hello));
+    CHECK(knows<StreamLookupReply>(hello));
+    auto former = decodeValue<FormerHello>(encodeValue(hello));
+    REQUIRE(former);
+    CHECK(former->name == "c");
+    auto received = decodeValue<Hello>(encodeValue(*former));
+    REQUIRE(received);
+    CHECK(received->name == "c");
+    CHECK(!knows<StreamRecords>(*received));
+}
