--- a/test/correctness/StreamVersionTest.cpp
+++ b/test/correctness/StreamVersionTest.cpp
@@ -236,7 +236,7 @@
     withReplicas(bench);
     connectHolders(bench);
     submit(bench, "q2", "q1");
-    SUBCASE("another version, or none, was never known") { }
+    SUBCASE("no replica that is known ran it") { }
     SUBCASE("its last replica is draining") { bench.replica("d1", UpstreamKind::Decode, 2, ReplicaState::Draining); }
     StreamOrigin gone { "engine", bench.logic().replicas().isReady({ "d1", {} }) ? "v0" : "v1" };
     bench.post(StreamLookupReplied { holder, { streamIdOf("", "q1"), StreamKnowledge::Known, gone } });
--- a/test/support/StreamFleet.h
+++ b/test/support/StreamFleet.h
@@ -335,7 +335,7 @@
         m_gateways[g].calls[send.id] = send.attempt;
         m_callees[{ send.id, send.attempt }] = send.replica.id;
         auto it = std::find_if(m_replicas.begin(), m_replicas.end(), [&](const Replica& r) { return r.id == send.replica.id; });
-        after(1ms, [this, g, send, isThere = it != m_replicas.end(), version = isThereVersion(it)] {
+        after(1ms, [this, g, send, isThere = it != m_replicas.end(), version = versionOf(it)] {
             if (!isCurrent(g, send))
                 return;
             if (!isThere)
@@ -347,7 +347,7 @@
             sendEvent(g, send, version, static_cast<int>(send.resumeAfter.value_or(resumedAfter(g, send.id))) + 1);
         });
     }
-    std::string isThereVersion(std::vector<Replica>::const_iterator it) const { return it == m_replicas.end() ? "" : it->version; }
+    std::string versionOf(std::vector<Replica>::const_iterator it) const { return it == m_replicas.end() ? "" : it->version; }
     std::uint64_t resumedAfter(std::size_t g, const RequestId& id)
     {
         auto it = m_gateways[g].streams.find(id);
