Records of streams are valid for their holders, whatever their callers state

Found by reading the diff. Cause: keepFor was computed from the caller's word and not bounded; and the holders asked more of a version's text than announcements do. It is bounded as the directory bounds it, and a version's text is checked as in announcements.

--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -115,7 +115,9 @@
     {
         if (auto fault = faultOfName("service", origin.service))
             return fault;
-        return faultOfName("softwareVersion", origin.softwareVersion);
+        if (origin.softwareVersion.size() > longestName)
+            return wrong("softwareVersion", "at most " + std::to_string(longestName) + " bytes", origin.softwareVersion);
+        return std::nullopt;
     }
 
     Fault check(const StreamRecord& record)
--- a/src/request/forward/ForwardStreams.cpp
+++ b/src/request/forward/ForwardStreams.cpp
@@ -32,7 +32,8 @@
     if (!isNamed || flow.origin->softwareVersion.empty())
         return;
     auto callerLeavesAt = flow.arrivedAt + flow.request.callerTimeout.value_or(flow.route->timeout);
-    StreamRecord record { flow.stream, *flow.origin, callerLeavesAt - now + recordMargin };
+    auto keepFor = std::clamp<Duration>(callerLeavesAt - now + recordMargin, Duration::zero(), StreamDirectory::longestRetention);
+    StreamRecord record { flow.stream, *flow.origin, keepFor };
     auto holders = m_streams.record(record, now);
     for (auto holder : holders)
         m_effects.push_back(SendStreamRecords { holder, { { record } } });
--- a/test/correctness/StreamVersionTest.cpp
+++ b/test/correctness/StreamVersionTest.cpp
@@ -4,6 +4,7 @@
  */
 #include "ForwardBench.h"
 #include "StreamFleet.h"
+#include "connection/MessageCheck.h"
 #include "message/Codec.h"
 
 #include <doctest/doctest.h>
@@ -134,6 +135,31 @@
     }
 }
 
+TEST_CASE("a record is valid for its holders, whatever timeout a caller states and however late its first event is processed")
+{
+    // Guards against links to all holders that end because of one caller, or after a freeze.
+    Bench bench;
+    withReplicas(bench);
+    connectHolders(bench);
+    RequestMetadata request;
+    request.callerRequestId = std::string(1u << 16, 'q');
+    bool isLate = false;
+    Duration timeout = longestSpan;
+    SUBCASE("a timeout of years") { }
+    SUBCASE("after a freeze")
+    {
+        isLate = true;
+        timeout = 14s;
+    }
+    bench.submit("/resumable/x", timeout, {}, "", request);
+    auto send = reserve(bench);
+    bench.now += isLate ? Duration(60s) : Duration(0s);
+    sendEvent(bench, send, 1);
+    for (const auto& sent : bench.effects<SendStreamRecords>())
+        CHECK(!faultOf(Message(sent.message)));
+    CHECK(bench.effects<SendStreamRecords>().size() == 2);
+}
+
 TEST_CASE("a stream that its caller resumes continues at the version that a holder names")
 {
     Bench bench;
