Origins of streams are kept on the controllers' disks

What callers saw: after all processes had been killed at once (or all holders and the gateway of a stream), every stream that they took up was refused with NOT_RESUMABLE, though replicas of its version served on and new streams began.

Cause: gateways, controllers and sidecars knew the origins in memory only.

Why it holds: StreamLog appends the records that a controller receives to files, 100 ms after the first of them, on a thread of its own, so a stalled disk delays no first event; on a start they are restored before the controller listens. Files are deleted whole once their last record has expired.

--- a/src/base/EventCode.cpp
+++ b/src/base/EventCode.cpp
@@ -73,6 +73,7 @@
         EventRow { EventCode::ReplicasForgotten, "REPLICAS_FORGOTTEN" },
         EventRow { EventCode::EntryRefused, "ENTRY_REFUSED" },
         EventRow { EventCode::SnapshotRefused, "SNAPSHOT_REFUSED" },
+        EventRow { EventCode::StreamsForgotten, "STREAMS_FORGOTTEN" },
     };
 
 } // namespace
--- a/src/base/EventCode.h
+++ b/src/base/EventCode.h
@@ -84,6 +84,7 @@
     ReplicasForgotten = 516,
     EntryRefused = 517,
     SnapshotRefused = 518,
+    StreamsForgotten = 519,
 };
 
 struct EventRow {
--- a/src/base/SystemClock.h
+++ b/src/base/SystemClock.h
@@ -11,7 +11,7 @@
 /// process that was suspended for an hour would take its expired leases for valid when it resumes.
 Instant currentInstant();
 
-/// Microseconds since 1970, for logs and the time line only.
+/// Microseconds since 1970, for logs, the time line and the age of files only.
 std::uint64_t currentWallMicros();
 
 } // namespace wrenhinge
--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -275,6 +275,8 @@
     return faultOfAge(crash.age);
 }
 
+std::optional<std::string> faultOf(const StreamRecord& record) { return check(record); }
+
 std::optional<std::string> faultOf(const Message& message)
 {
     return std::visit([](const auto& m) { return check(m); }, message);
--- a/src/connection/MessageCheck.h
+++ b/src/connection/MessageCheck.h
@@ -35,6 +35,7 @@
 /// \returns the first invalid field and the reason, or nothing.
 std::optional<std::string> faultOf(const Announcement&);
 std::optional<std::string> faultOf(const ReplicaCrash&);
+std::optional<std::string> faultOf(const StreamRecord&);
 std::optional<std::string> faultOf(const Message&);
 
 /// Makes a text from outside printable: at most `most` bytes, with `?` for everything but visible ASCII and spaces.
--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -120,6 +120,8 @@
     startRegistrar();
     startCrashRelay();
     m_quotaRelay.start();
+    if (hasDisk())
+        m_streams.openLog(m_settings.controller.data, m_runtime.log(), m_runtime.refusals());
     auto adminAddress = m_adminServer.start(m_settings.admin, [this](const AdminRequest& request) { return admin(request); });
     if (!adminAddress)
         return adminAddress.error();
--- a/src/process/StreamDirectoryServer.cpp
+++ b/src/process/StreamDirectoryServer.cpp
@@ -10,6 +10,15 @@
 {
 }
 
+void StreamDirectoryServer::openLog(const std::string& folder, EventLog& log, RefusalLog& refusals)
+{
+    m_log.emplace(folder, log, refusals);
+    boost::asio::post(m_strand, [this] {
+        for (const auto& record : m_log->restored())
+            m_directory.add(record, currentInstant());
+    });
+}
+
 bool StreamDirectoryServer::receive(PeerId from, const Message& message)
 {
     if (const auto* records = std::get_if<StreamRecords>(&message))
@@ -29,6 +38,8 @@
         held.streams.push_back(record.stream);
     }
     m_hub.send(from, held);
+    if (m_log)
+        m_log->append(records.records);
 }
 
 void StreamDirectoryServer::answer(PeerId from, const StreamLookup& lookup)
--- a/src/process/StreamDirectoryServer.h
+++ b/src/process/StreamDirectoryServer.h
@@ -6,14 +6,22 @@
 #pragma once
 
 #include "connection/PeerHub.h"
+#include "process/StreamLog.h"
 #include "request/fleet/StreamDirectory.h"
 
+#include <optional>
+#include <string>
+
 namespace wrenhinge {
 
 class StreamDirectoryServer {
 public:
     StreamDirectoryServer(Strand, PeerHub&);
 
+    /// Restores what a former process has stored in this folder, and stores there what is received from now on. Call it before the hub
+    /// listens.
+    void openLog(const std::string& folder, EventLog&, RefusalLog&);
+
     /// A message of a gateway. Thread-safe. \returns whether it is for this class.
     bool receive(PeerId, const Message&);
 
@@ -24,6 +32,7 @@
     Strand m_strand;
     PeerHub& m_hub;
     StreamDirectory m_directory;
+    std::optional<StreamLog> m_log; ///< Unset without a disk.
 };
 
 } // namespace wrenhinge
--- a/test/fuzz/FuzzTest.cpp
+++ b/test/fuzz/FuzzTest.cpp
@@ -15,6 +15,7 @@
 #include "connection/MessageCheck.h"
 #include "message/Codec.h"
 #include "process/PersistedList.h"
+#include "process/StreamLog.h"
 #include "version/DiskFile.h"
 #include "version/LogStorage.h"
 
@@ -200,6 +201,10 @@
 bool memory(const std::string& input)
 {
     // As it comes from a disk, and as another release may have written it.
+    for (const auto& bytes : { input, disk::encodeRecord(input) }) {
+        for (const auto& record : StreamLog::read(bytes, 1h, [](const std::string&) {}))
+            require(!faultOf(record), "a remembered stream can be used");
+    }
     (void)PersistedReplicas::read(input, [](const std::string&) {});
     auto list = PersistedReplicas::read(
         disk::encodeRecord(input), [](const std::string& why) { require(!why.empty() && why.size() < 400, "a reason is given"); });
@@ -280,7 +285,8 @@
 {
     Announcement a { "i-1", "app", "10.0.0.1:80", "z", "v1", 4, ReplicaState::Ready, UpstreamKind::Decode, 5ms, 9 };
     return { encodeValue(std::vector { a, a, a }), encodeValue(std::vector<Announcement> {}),
-        disk::encodeRecord(encodeValue(std::vector { a })) };
+        disk::encodeRecord(encodeValue(std::vector { a })),
+        encodeValue(StreamLog::Batch { 1h, { { StreamId(1), { "app", "v1" }, 5s } } }) };
 }
 
 /// Bytes that a controller writes itself, read back from its folder.
