--- a/test/correctness/StreamLogTest.cpp
+++ b/test/correctness/StreamLogTest.cpp
@@ -121,6 +121,22 @@
     CHECK(files(at) == std::vector<std::string> { "streams-1", "streams-3" });
 }
 
+TEST_CASE("a file that took no more is not continued")
+{
+    // Guards against streams that can't be read back, since they follow an incomplete batch.
+    ControllerFolder at;
+    StreamLog log(at.folder.path(), at.log, at.refusals);
+    auto first = at.folder.file("streams-1");
+    std::filesystem::create_symlink("/dev/full", first);
+    log.append({ record(1) });
+    while (std::filesystem::is_symlink(first))
+        std::this_thread::sleep_for(5ms);
+    CHECK(hasForgotten(at));
+    log.append({ record(2) });
+    CHECK((stored(at, 1).front().stream == StreamId(2)));
+    CHECK(files(at) == std::vector<std::string> { "streams-2" });
+}
+
 TEST_CASE("a stored stream that can't be used is dropped alone")
 {
     auto unusable = record(2);
--- a/test/correctness/StreamVersionTest.cpp
+++ b/test/correctness/StreamVersionTest.cpp
@@ -222,6 +222,13 @@
         bench.wait(StreamDirectoryClient::lookupTimeout);
         CHECK(bench.only<Refuse>().error.retryAfter);
     }
+    SUBCASE("two streams of its account have its id")
+    {
+        connectHolders(bench);
+        submit(bench, "q2", "q1");
+        bench.post(StreamLookupReplied { holder, { streamIdOf("", "q1"), StreamKnowledge::Ambiguous, {} } });
+        checkFinalRefusal(bench);
+    }
     SUBCASE("there is no holder")
     {
         connectHolders(bench);
