The stand-in's caller comes back once after a restart of its gateway

The trace: the restart of a gateway let the caller come back within 300 ms; its connection 'broke' in this time too, and it came back for that as well. Two attempts with ids of their own (q24, q25) each began a stream, at v1 and v2, and the stand-in counted the events of both as one stream. No caller that is one sends two attempts at once. The check is unchanged; refusals of resumptions are counted now too.

--- a/test/support/StreamFleet.h
+++ b/test/support/StreamFleet.h
@@ -39,6 +39,7 @@
         int begun = 0; ///< Streams with an event.
         int takenUp = 0; ///< Attempts to resume one.
         int wentOn = 0; ///< Of these, those that brought an event.
+        int refused = 0; ///< Of these, those that were refused.
         int mixed = 0; ///< Streams that hold events of two versions.
         int unanswered = 0; ///< Requests without an end, after all time that they had.
     };
@@ -180,8 +181,12 @@
     {
         auto streams = m_gateways[g].streams;
         startGateway(g);
-        for (const auto& [id, stream] : streams)
-            after(between(1ms, 300ms), [this, stream = stream] { takeUp(stream); });
+        for (const auto& [id, stream] : streams) {
+            after(between(1ms, 300ms), [this, id = id, stream = stream] {
+                if (m_streams[stream].isOpen && m_streams[stream].id == id)
+                    takeUp(stream);
+            });
+        }
     }
 
     void connect(std::size_t g, std::size_t h)
@@ -397,7 +402,12 @@
         m_gateways[g].streams.erase(it);
         takeUp(s);
     }
-    void execute(std::size_t g, const forward::Refuse& refuse) { close(g, refuse.id); }
+    void execute(std::size_t g, const forward::Refuse& refuse)
+    {
+        auto it = m_gateways[g].streams.find(refuse.id);
+        m_outcome.refused += it != m_gateways[g].streams.end() && m_streams[it->second].isResuming;
+        close(g, refuse.id);
+    }
 
     void execute(std::size_t g, const forward::SendStreamRecords& send)
     {
