A stream that its caller resumes after the last event ends as complete

What callers saw: a caller whose connection ended after the last event and before the end of the stream came back and got 502 UPSTREAM_FAILED, after three replicas had run its request for nothing.

Cause: a stream without any event was taken for one that its replica broke off, also where the caller had stated the last event there is. The replica's answer, whole and empty, was the right one.

Why it holds: whether events are missing is the replica's to say, by a whole answer with its signature; an answer that ends inside an event, and a new stream without events, are failures as before.

--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -65,16 +65,10 @@
         // A replica that resumes a stream may repeat the event after which it was asked to resume.
         if (event.id && flow.lastEventId && *event.id <= *flow.lastEventId)
             continue;
-        if (!flow.hasStreamStarted) {
-            flow.hasStreamStarted = true;
-            recordStream(flow, now);
-            flow.timeToFirstByte = now - flow.arrivedAt;
-            m_effects.push_back(LogEvent { EventCode::FirstByte, flow.id,
-                m_replicas.describe(flow.replica) + " after " + std::to_string((now - flow.sentAt) / 1ms) + " ms" });
-            passOn(flow, BeginStream { flow.id, flow.metadata.status, flow.headers });
-        } else {
+        if (!flow.hasStreamStarted)
+            beginStream(flow, now);
+        else
             flow.longestGap = std::max(flow.longestGap, now - flow.lastForwardedAt);
-        }
         if (event.id)
             flow.lastEventId = event.id;
         flow.lastEventAt = flow.lastForwardedAt = now;
@@ -83,6 +77,16 @@
     scheduleCheck(flow);
 }
 
+void ForwardLogic::beginStream(Flow& flow, Instant now)
+{
+    flow.hasStreamStarted = true;
+    recordStream(flow, now);
+    flow.timeToFirstByte = now - flow.arrivedAt;
+    m_effects.push_back(LogEvent {
+        EventCode::FirstByte, flow.id, m_replicas.describe(flow.replica) + " after " + std::to_string((now - flow.sentAt) / 1ms) + " ms" });
+    passOn(flow, BeginStream { flow.id, flow.metadata.status, flow.headers });
+}
+
 void ForwardLogic::on(const AnswerEnd& event, Instant now)
 {
     auto* flow = current(event.id, event.attempt);
@@ -128,13 +132,16 @@
 
 void ForwardLogic::endStream(Flow& flow, Instant now)
 {
-    bool isComplete = flow.splitter.rest().empty() && flow.hasStreamStarted;
+    // A caller that has all events already resumes the stream to learn that it is complete.
+    bool isComplete = flow.splitter.rest().empty() && (flow.hasStreamStarted || flow.request.resumeAfter);
     endCall(flow, isComplete ? CallOutcome::Served : CallOutcome::Failed, now);
     if (!isComplete) {
         noteCrash(flow, now);
         return resendOrFail(flow, true, "the stream ended inside an event", now);
     }
     noteServed(flow, now);
+    if (!flow.hasStreamStarted)
+        beginStream(flow, now);
     m_effects.push_back(LogEvent { EventCode::RequestFinished, flow.id,
         "stream after " + std::to_string((now - flow.arrivedAt) / 1ms) + " ms, longest pause " + std::to_string(flow.longestGap / 1ms)
             + " ms" });
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -220,6 +220,7 @@
     void endCall(Flow&, CallOutcome, Instant);
     void abandonCall(Flow&, Instant);
     void forwardEvents(Flow&, std::string bytes, Instant);
+    void beginStream(Flow&, Instant);
     void endStream(Flow&, Instant);
     void refuse(Flow&, ResultCode, const std::string& reason, Instant);
     void refuseUntil(Flow&, ResultCode, const std::string& reason, std::optional<Duration> retryAfter, Instant);
--- a/test/correctness/StreamVersionTest.cpp
+++ b/test/correctness/StreamVersionTest.cpp
@@ -194,6 +194,24 @@
     }
 }
 
+TEST_CASE("a stream that its caller resumes after the last event ends at once as complete")
+{
+    // Guards against taking the missing events for a failure: the run would be repeated, and the caller told that its stream failed.
+    Bench bench;
+    withReplicas(bench);
+    submit(bench, "q1");
+    auto first = reserve(bench);
+    sendEvent(bench, first, 1);
+    bench.post(CallerDisconnected { first.id });
+    submit(bench, "q2", "q1");
+    auto again = reserve(bench);
+    bench.streamHead(again);
+    bench.post(AnswerEnd { again.id, again.attempt });
+    CHECK(bench.effects<BeginStream>().size() == 1);
+    CHECK(bench.effects<EndStream>().size() == 1);
+    CHECK(bench.effects<ReserveAtReplica>().empty());
+}
+
 TEST_CASE("a stream whose origin no process knows is refused at once")
 {
     Bench bench;
@@ -417,6 +435,7 @@
         CAPTURE(seed);
         CHECK(outcome.mixed == 0);
         CHECK(outcome.unanswered == 0);
+        CHECK(outcome.refused == 0);
         CHECK(outcome.takenUp > 50);
         CHECK(outcome.wentOn >= outcome.takenUp * 95 / 100);
     }
