--- a/src/process/StreamDirectoryServer.cpp
+++ b/src/process/StreamDirectoryServer.cpp
@@ -13,8 +13,8 @@
 void StreamDirectoryServer::openLog(const std::string& folder, EventLog& log, RefusalLog& refusals)
 {
     m_log.emplace(folder, log, refusals);
-    boost::asio::post(m_strand, [this] {
-        for (const auto& record : m_log->restored())
+    boost::asio::post(m_strand, [this, records = m_log->takeRestored()] {
+        for (const auto& record : records)
             m_directory.add(record, currentInstant());
     });
 }
--- a/src/process/StreamLog.h
+++ b/src/process/StreamLog.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <mutex>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace wrenhinge {
@@ -34,8 +35,8 @@
     StreamLog(const StreamLog&) = delete;
     StreamLog& operator=(const StreamLog&) = delete;
 
-    /// The records of former processes that are still valid, in the order in which they were written.
-    [[nodiscard]] std::vector<StreamRecord> restored() const { return m_restored; }
+    /// The records of former processes that are still valid, in the order in which they were written; empty after the first call.
+    [[nodiscard]] std::vector<StreamRecord> takeRestored() { return std::exchange(m_restored, {}); }
     /// Returns immediately. Thread-safe.
     void append(const std::vector<StreamRecord>&);
 
--- a/test/correctness/StreamLogTest.cpp
+++ b/test/correctness/StreamLogTest.cpp
@@ -18,7 +18,7 @@
 
 StreamRecord record(std::uint64_t stream, Duration keepFor = 1h) { return { StreamId(stream), origin, keepFor }; }
 
-std::vector<StreamRecord> restored(ControllerFolder& at) { return StreamLog(at.folder.path(), at.log, at.refusals).restored(); }
+std::vector<StreamRecord> restored(ControllerFolder& at) { return StreamLog(at.folder.path(), at.log, at.refusals).takeRestored(); }
 
 /// Waits until another start would find so many records.
 std::vector<StreamRecord> stored(ControllerFolder& at, std::size_t n)
@@ -62,7 +62,7 @@
     ControllerFolder at;
     for (std::uint64_t start = 1; start <= 3; ++start) {
         StreamLog log(at.folder.path(), at.log, at.refusals);
-        CHECK(log.restored().size() == 2 * (start - 1));
+        CHECK(log.takeRestored().size() == 2 * (start - 1));
         log.append({ record(10 * start), record(10 * start + 1) });
         auto list = stored(at, 2 * start);
         CHECK((list[list.size() - 2].stream == StreamId(10 * start)));
@@ -97,7 +97,7 @@
     auto file = at.folder.file(files(at).front());
     std::filesystem::resize_file(file, std::filesystem::file_size(file) - 3);
     StreamLog log(at.folder.path(), at.log, at.refusals);
-    REQUIRE(log.restored().size() == 1);
+    REQUIRE(log.takeRestored().size() == 1);
     log.append({ record(3) });
     CHECK((stored(at, 2).back().stream == StreamId(3)));
 }
@@ -157,7 +157,7 @@
         std::this_thread::sleep_for(5ms);
     std::filesystem::create_directory(folder);
     log.append({ record(2) });
-    while (StreamLog(folder, at.log, at.refusals).restored().empty())
+    while (StreamLog(folder, at.log, at.refusals).takeRestored().empty())
         std::this_thread::sleep_for(5ms);
     auto events = at.log.events("");
     CHECK(std::count_if(events.begin(), events.end(), [](const auto& event) { return event.code == EventCode::StreamsForgotten; }) == 1);
