--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -148,8 +148,8 @@
     [[nodiscard]] static bool isResumption(const Flow&);
     void resume(Flow&, Instant);
     void askHolder(Flow&, PeerId);
-    void refuseIfUnknown(Flow&, Instant);
-    void refuseUnfound(Flow&, Instant);
+    void refuseIfLookupEnded(Flow&, Instant);
+    void refuseIncompleteLookup(Flow&, Instant);
     void loseHolder(PeerId, Instant);
     void endLookup(Flow&);
     void resumeAt(Flow&, const StreamLookupReply&, Instant);
--- a/src/request/forward/ForwardStreams.cpp
+++ b/src/request/forward/ForwardStreams.cpp
@@ -104,14 +104,14 @@
     if (auto reply = m_streams.own().find(flow.stream, now); reply.knowledge != StreamKnowledge::Unknown)
         return resumeAt(flow, reply, now);
     if (m_streams.holders().empty() && m_streams.isSettled(now))
-        return refuseUnfound(flow, now);
+        return refuseIncompleteLookup(flow, now);
     flow.lookup = ForwardFlow::Lookup { {}, now + StreamDirectoryClient::lookupTimeout, false };
     m_awaitingHolders.emplace(flow.stream, flow.id);
     for (auto holder : m_streams.holders())
         askHolder(flow, holder);
     flow.nextCheckAt = std::min(flow.lookup->until, flow.deadline);
     m_wakes.insert({ flow.nextCheckAt, flow.id });
-    refuseIfUnknown(flow, now);
+    refuseIfLookupEnded(flow, now);
 }
 
 void ForwardLogic::askHolder(Flow& flow, PeerId holder)
@@ -132,25 +132,25 @@
             resumeAt(flow, event.reply, now);
         } else {
             flow.lookup->asked.erase(event.holder);
-            refuseIfUnknown(flow, now);
+            refuseIfLookupEnded(flow, now);
         }
     }
 }
 
 /// Refuses the request once no further reply about its stream can come.
-void ForwardLogic::refuseIfUnknown(Flow& flow, Instant now)
+void ForwardLogic::refuseIfLookupEnded(Flow& flow, Instant now)
 {
     if (!flow.lookup->asked.empty() || !m_streams.isSettled(now))
         return;
     bool isComplete = !flow.lookup->hasLostHolder && !m_streams.holders().empty();
     endLookup(flow);
     if (!isComplete)
-        return refuseUnfound(flow, now);
+        return refuseIncompleteLookup(flow, now);
     refuseResumption(flow, "no process knows which software version began the stream", std::nullopt, now);
 }
 
 /// Some holders have not replied, or are not connected, so another attempt may find the origin.
-void ForwardLogic::refuseUnfound(Flow& flow, Instant now)
+void ForwardLogic::refuseIncompleteLookup(Flow& flow, Instant now)
 {
     refuseResumption(flow, "which software version began the stream could not be found out", retryAfter(flow, now), now);
 }
@@ -167,7 +167,7 @@
         auto& flow = m_flows.at(id);
         flow.lookup->asked.erase(holder);
         flow.lookup->hasLostHolder = true;
-        refuseIfUnknown(flow, now);
+        refuseIfLookupEnded(flow, now);
     }
 }
 
--- a/src/request/forward/ForwardTime.cpp
+++ b/src/request/forward/ForwardTime.cpp
@@ -86,7 +86,7 @@
 {
     if (flow.lookup) {
         endLookup(flow);
-        return refuseUnfound(flow, now);
+        return refuseIncompleteLookup(flow, now);
     }
     if (flow.eventsHeldUntil && *flow.eventsHeldUntil <= now) {
         m_streams.notReplied(flow.stream, now);
