The parts of a prompt are read, and named by the log line of a request

Nothing decides by them yet.

RequestFingerprint is ContentFingerprint now, since it identifies parts as well.

--- a/src/base/Ids.cpp
+++ b/src/base/Ids.cpp
@@ -18,7 +18,7 @@
 
 std::string toString(PeerId id) { return hexadecimal(id.value()); }
 
-std::string toString(RequestFingerprint fingerprint) { return hexadecimal(fingerprint.value()); }
+std::string toString(ContentFingerprint fingerprint) { return hexadecimal(fingerprint.value()); }
 
 std::string toString(AccountId id) { return hexadecimal(id.value()); }
 
--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -43,8 +43,9 @@
 /// The random id of a data directory, generated when it is created; a controller that lost its disk has another one.
 using DiskId = StrongId<struct DiskTag>;
 
-/// A hash that is the same whenever a caller sends the same request again, whatever its request id (RequestFingerprint.h).
-using RequestFingerprint = StrongId<struct RequestFingerprintTag>;
+/// A hash of a request that is the same whenever a caller sends it again, whatever its request id, or of a part of a prompt, which is the
+/// same in all requests that have the part (ContentFingerprint.h).
+using ContentFingerprint = StrongId<struct ContentFingerprintTag>;
 
 /// A client account in messages: a hash of its name.
 using AccountId = StrongId<struct AccountTag>;
@@ -81,7 +82,7 @@
 std::string toString(const RequestId&);
 std::string toString(PeerId);
 /// 16 hexadecimal digits.
-std::string toString(RequestFingerprint);
+std::string toString(ContentFingerprint);
 std::string toString(AccountId);
 std::string toString(LimitId);
 std::string toString(StreamId);
--- a/src/message/CrashMessages.h
+++ b/src/message/CrashMessages.h
@@ -9,7 +9,7 @@
 
 /// According to the sender, the replica crashed while it was processing the request.
 struct ReplicaCrash {
-    RequestFingerprint request;
+    ContentFingerprint request;
     std::string replica;
     ReplicaStart start {}; ///< Of the replica's run.
     Duration age {}; ///< Since the crash.
@@ -20,7 +20,7 @@
 
 /// The request was answered in full, so it did not cause the earlier crashes.
 struct ServedAfterCrash {
-    RequestFingerprint request;
+    ContentFingerprint request;
     Duration age {}; ///< Since the answer.
     MSGPACK_DEFINE(request, age)
 };
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -19,7 +19,7 @@
 #include "process/ForwardPeers.h"
 #include "process/LogicDriver.h"
 #include "process/Runtime.h"
-#include "request/fleet/RequestFingerprint.h"
+#include "request/fleet/ContentFingerprint.h"
 #include "request/forward/ForwardLogic.h"
 #include "version/DocumentFollower.h"
 
--- a/src/request/fleet/RequestFingerprint.h
+++ b/src/request/fleet/ContentFingerprint.h
@@ -1,5 +1,5 @@
 /** \file
- * Identifies requests that are the same one, sent again.
+ * Identifies requests that are the same one, sent again, and parts of prompts that several requests have.
  *
  * A caller that repeats a request gives it another id and may use another address, so requests are compared by the content that an upstream
  * would process, and by the client account if the request names one, since two callers may well look up the same thing. The fingerprint is
@@ -21,9 +21,12 @@
     std::string_view body;
 };
 
-RequestFingerprint fingerprintOf(const RequestParts&);
+ContentFingerprint fingerprintOf(const RequestParts&);
 /// The fingerprint of the request for this client account. All keys of an account give the same one.
 /// \param account empty if the request names none.
-RequestFingerprint fingerprintForAccount(RequestFingerprint, std::string_view account);
+ContentFingerprint fingerprintForAccount(ContentFingerprint, std::string_view account);
+
+/// \param id of the part, which callers choose: the same text in all prompts that have the part.
+ContentFingerprint fingerprintOfPart(std::string_view id);
 
 } // namespace wrenhinge
--- a/src/request/fleet/CrashExchange.cpp
+++ b/src/request/fleet/CrashExchange.cpp
@@ -10,7 +10,7 @@
 {
     Updates updates;
     updates.controllers = m_tracker.take(report, now);
-    std::set<RequestFingerprint> requests;
+    std::set<ContentFingerprint> requests;
     for (const auto& crash : updates.controllers.crashes)
         requests.insert(crash.request);
     for (const auto& request : requests) {
--- a/src/request/fleet/CrashExchange.h
+++ b/src/request/fleet/CrashExchange.h
@@ -17,7 +17,7 @@
     struct Updates {
         CrashReport controllers;
         CrashReport gateways;
-        std::vector<RequestFingerprint> refused; ///< Requests in the report that are refused and had a new crash.
+        std::vector<ContentFingerprint> refused; ///< Requests in the report that are refused and had a new crash.
     };
 
     /// \returns what to pass on to all but the sender.
--- a/src/request/fleet/CrashTracker.cpp
+++ b/src/request/fleet/CrashTracker.cpp
@@ -17,17 +17,17 @@
 
 // --- Recording crashes and responses ----------------------------------------------------------------------------
 
-CrashReport CrashTracker::noteCrash(RequestFingerprint request, const ReplicaRun& run, Duration ranFor, Instant now)
+CrashReport CrashTracker::noteCrash(ContentFingerprint request, const ReplicaRun& run, Duration ranFor, Instant now)
 {
     return take({ { { request, run.id, run.start, Duration::zero(), ranFor } }, {} }, now);
 }
 
-CrashReport CrashTracker::noteServed(RequestFingerprint request, Instant now)
+CrashReport CrashTracker::noteServed(ContentFingerprint request, Instant now)
 {
     return take({ {}, { { request, Duration::zero() } } }, now);
 }
 
-bool CrashTracker::add(RequestFingerprint fingerprint, Crash crash)
+bool CrashTracker::add(ContentFingerprint fingerprint, Crash crash)
 {
     auto& request = m_requests[fingerprint];
     bool isKnown
@@ -45,7 +45,7 @@
 }
 
 /// \returns whether this cleared any crash; only then is it reported to other processes.
-bool CrashTracker::clear(RequestFingerprint fingerprint, Instant servedAt)
+bool CrashTracker::clear(ContentFingerprint fingerprint, Instant servedAt)
 {
     auto it = m_requests.find(fingerprint);
     if (it == m_requests.end())
@@ -103,7 +103,7 @@
 /// don't displace it.
 void CrashTracker::evictOldest()
 {
-    std::vector<std::pair<Instant, RequestFingerprint>> byAge;
+    std::vector<std::pair<Instant, ContentFingerprint>> byAge;
     for (const auto& [fingerprint, request] : m_requests)
         byAge.emplace_back(lastActivity(request), fingerprint);
     std::nth_element(byAge.begin(), byAge.begin() + evictionBatch, byAge.end());
@@ -133,7 +133,7 @@
     return evaluation;
 }
 
-CrashTracker::Status CrashTracker::statusOf(RequestFingerprint fingerprint, Instant now) const
+CrashTracker::Status CrashTracker::statusOf(ContentFingerprint fingerprint, Instant now) const
 {
     auto it = m_requests.find(fingerprint);
     if (it == m_requests.end())
@@ -144,7 +144,7 @@
     return evaluation.counted >= crashesUntilWatched ? Status::Watched : Status::Unknown;
 }
 
-std::string CrashTracker::text(RequestFingerprint fingerprint) const
+std::string CrashTracker::text(ContentFingerprint fingerprint) const
 {
     auto text = "fingerprint " + toString(fingerprint) + " has crashed";
     if (auto it = m_requests.find(fingerprint); it != m_requests.end()) {
@@ -154,7 +154,7 @@
     return text;
 }
 
-void CrashTracker::describe(RequestFingerprint fingerprint, CrashReport& report, Instant now) const
+void CrashTracker::describe(ContentFingerprint fingerprint, CrashReport& report, Instant now) const
 {
     auto it = m_requests.find(fingerprint);
     if (it == m_requests.end())
--- a/src/request/fleet/CrashTracker.h
+++ b/src/request/fleet/CrashTracker.h
@@ -59,20 +59,20 @@
     static constexpr const char* refusalReason = "replicas that ran this very request have crashed, so it is not run again";
 
     /// Records that this process saw the replica crash while running the request. \returns what to report to the controllers.
-    CrashReport noteCrash(RequestFingerprint, const ReplicaRun&, Duration ranFor, Instant now);
+    CrashReport noteCrash(ContentFingerprint, const ReplicaRun&, Duration ranFor, Instant now);
     /// Records a complete response to the request. \returns what to report; empty unless this cleared a crash.
-    CrashReport noteServed(RequestFingerprint, Instant now);
+    CrashReport noteServed(ContentFingerprint, Instant now);
     /// Merges another process's report. \returns the part of it that was new.
     CrashReport take(const CrashReport&, Instant now);
     /// Clears the crashes of replicas from which something was received since, and removes expired entries.
     void dropRefuted(const ReplicaRegistry&, Instant now);
     void removeExpired(Instant now);
 
-    [[nodiscard]] Status statusOf(RequestFingerprint, Instant now) const;
+    [[nodiscard]] Status statusOf(ContentFingerprint, Instant now) const;
     /// The request and the replicas that have crashed while running it, for a log.
-    [[nodiscard]] std::string text(RequestFingerprint) const;
+    [[nodiscard]] std::string text(ContentFingerprint) const;
     /// Adds to `report` all that another process needs to compute the same status of the request.
-    void describe(RequestFingerprint, CrashReport& report, Instant now) const;
+    void describe(ContentFingerprint, CrashReport& report, Instant now) const;
     /// The same for all requests whose status is at least `atLeast`.
     [[nodiscard]] CrashReport describeAll(Status atLeast, Instant now) const;
     [[nodiscard]] std::size_t size() const { return m_requests.size(); }
@@ -96,11 +96,11 @@
     [[nodiscard]] static Evaluation evaluate(const Request&);
     /// The time of the last crash or complete response, or the end of the refusal if that is later.
     [[nodiscard]] static Instant lastActivity(const Request&);
-    bool add(RequestFingerprint, Crash);
-    bool clear(RequestFingerprint, Instant servedAt);
+    bool add(ContentFingerprint, Crash);
+    bool clear(ContentFingerprint, Instant servedAt);
     void evictOldest();
 
-    std::unordered_map<RequestFingerprint, Request> m_requests;
+    std::unordered_map<ContentFingerprint, Request> m_requests;
 };
 
 } // namespace wrenhinge
--- a/src/request/forward/ForwardAccounts.cpp
+++ b/src/request/forward/ForwardAccounts.cpp
@@ -1,7 +1,7 @@
 /** \file
  * The part of ForwardLogic for client accounts: authentication and quotas.
  */
-#include "request/fleet/RequestFingerprint.h"
+#include "request/fleet/ContentFingerprint.h"
 #include "request/forward/ForwardLogic.h"
 
 #include <cmath>
--- a/src/request/forward/ForwardCrashes.cpp
+++ b/src/request/forward/ForwardCrashes.cpp
@@ -14,7 +14,7 @@
     const auto* entry = m_replicas.registry().find(flow.replica);
     bool isLeaving = entry && entry->announcement.state == ReplicaState::Draining;
     auto fingerprint = flow.request.fingerprint;
-    if (isLeaving || fingerprint == RequestFingerprint())
+    if (isLeaving || fingerprint == ContentFingerprint())
         return;
     auto changes = m_crashes.noteCrash(fingerprint, flow.replica, now - flow.sentAt, now);
     if (changes.isEmpty())
@@ -46,7 +46,7 @@
     refuse(flow, ResultCode::CrashesReplicas, CrashTracker::refusalReason, now);
 }
 
-void ForwardLogic::recordIfRefused(RequestFingerprint fingerprint, Instant now)
+void ForwardLogic::recordIfRefused(ContentFingerprint fingerprint, Instant now)
 {
     if (m_crashes.statusOf(fingerprint, now) != CrashTracker::Status::Refused || !m_newCrashFingerprints.insert(fingerprint).second)
         return;
--- a/src/request/forward/ForwardEvents.h
+++ b/src/request/forward/ForwardEvents.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace wrenhinge::forward {
 
@@ -20,7 +21,8 @@
     std::string host;
     std::string path; ///< Without the query.
     std::string callerRequestId; ///< Assigned by the caller; empty: none.
-    RequestFingerprint fingerprint; ///< Doesn't include the account, which is looked up in the routing document.
+    ContentFingerprint fingerprint; ///< Doesn't include the account, which is looked up in the routing document.
+    std::vector<ContentFingerprint> promptParts; ///< Each once, without the last, which belongs to this request or its session alone.
     std::optional<SecretDigest> key; ///< Digest of the API key that the caller presented.
     std::optional<Duration> callerTimeout; ///< How long the caller waits for an answer, counted from when it sent the request.
     Duration readFor {}; ///< How long it took to receive the request; counts against callerTimeout.
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -25,6 +25,19 @@
     /// In bytes; callers choose their ids.
     constexpr std::size_t longestLoggedId = 64;
 
+    /// A log line names at most this many parts of a prompt.
+    constexpr std::size_t maxLoggedParts = 8;
+
+    std::string partsText(const RequestMetadata& request)
+    {
+        std::string text;
+        for (std::size_t i = 0; i < std::min(request.promptParts.size(), maxLoggedParts); ++i)
+            text += (i ? "," : " parts ") + toString(request.promptParts[i]);
+        if (request.promptParts.size() > maxLoggedParts)
+            text += " and " + std::to_string(request.promptParts.size() - maxLoggedParts) + " more";
+        return text;
+    }
+
     /// Which stream the caller resumes, for the log.
     std::string resumptionText(const RequestMetadata& request)
     {
@@ -151,7 +164,7 @@
     m_effects.push_back(LogEvent { EventCode::RequestReceived, flow.id,
         flow.route->name + " document " + std::to_string(m_table->version()) + " tokens " + std::to_string(request.promptTokens) + "+"
             + std::to_string(request.outputTokens) + " expected " + std::to_string(expectedTokensOf(flow)) + " left "
-            + std::to_string((flow.deadline - now) / 1ms) + " ms fingerprint " + toString(request.fingerprint)
+            + std::to_string((flow.deadline - now) / 1ms) + " ms fingerprint " + toString(request.fingerprint) + partsText(request)
             + (flow.account ? " account " + flow.account->name : "") + resumptionText(request) });
     auto& longest = m_maxCallerTimeout[flow.route->name];
     longest = std::max(longest, request.callerTimeout.value_or(Duration::zero()));
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -199,7 +199,7 @@
     void reportCrashes(std::optional<PeerId> controller, CrashReport);
     [[nodiscard]] bool crashesReplicas(const Flow&, Instant) const;
     void refuseAsCrashing(Flow&, Instant);
-    void recordIfRefused(RequestFingerprint, Instant);
+    void recordIfRefused(ContentFingerprint, Instant);
     void refuseNewCrashFingerprints(Instant);
     // Replicas that restart or change their software (ForwardReplicas.cpp).
     void abandonFormerRuns(const ReplicaRun& newest, Instant);
@@ -262,7 +262,7 @@
     StreamDirectoryClient m_streams;
     std::set<std::pair<StreamId, RequestId>> m_awaitingHolders; ///< Requests that wait for a holder's reply about a stream.
     CrashTracker m_crashes;
-    std::set<RequestFingerprint> m_newCrashFingerprints; ///< Requests with these that have not run are refused at the end of the step.
+    std::set<ContentFingerprint> m_newCrashFingerprints; ///< Requests with these that have not run are refused at the end of the step.
     LoadShedder m_shedder; ///< For plain services; engines have reservations.
     StreamForecast m_forecast;
     std::optional<Instant> m_shutdownAt; ///< When this process exits; set once shutdown has begun.
--- a/src/request/sidecar/GatewayContext.h
+++ b/src/request/sidecar/GatewayContext.h
@@ -36,7 +36,7 @@
 struct GatewayRequest {
     RequestId id;
     CallerRequest caller;
-    RequestFingerprint fingerprint; ///< Equal for identical requests of an account.
+    ContentFingerprint fingerprint; ///< Equal for identical requests of an account.
     ServiceRules rules;
     Priority priority = Priority::Normal;
     RequestPhase phase = RequestPhase::New;
--- a/src/request/sidecar/GatewayLogic.cpp
+++ b/src/request/sidecar/GatewayLogic.cpp
@@ -1,6 +1,6 @@
 #include "request/sidecar/GatewayLogic.h"
 
-#include "request/fleet/RequestFingerprint.h"
+#include "request/fleet/ContentFingerprint.h"
 
 #include <xxhash.h>
 
--- a/test/correctness/AccountTest.cpp
+++ b/test/correctness/AccountTest.cpp
@@ -2,7 +2,7 @@
  * Client accounts at a gateway that calls upstreams directly: which account a request belongs to, and which requests are admitted.
  */
 #include "ForwardBench.h"
-#include "request/fleet/RequestFingerprint.h"
+#include "request/fleet/ContentFingerprint.h"
 
 using namespace wrenhinge;
 using namespace wrenhinge::forward;
@@ -38,7 +38,7 @@
         post(RegistryHeartbeatReceived { PeerId(50), { {}, 1 } });
         replica("r1");
     }
-    RequestId requestWithKey(const std::string& path, const std::string& key, RequestFingerprint fingerprint = {})
+    RequestId requestWithKey(const std::string& path, const std::string& key, ContentFingerprint fingerprint = {})
     {
         return submit(path, 600ms, fingerprint, key);
     }
@@ -148,7 +148,7 @@
 TEST_CASE("a request that crashes replicas has the same fingerprint under all keys of an account")
 {
     Site site;
-    RequestFingerprint print(7);
+    ContentFingerprint print(7);
     auto crashOf = [&](const std::string& key) {
         site.requestWithKey("/once/x", key, print);
         auto send = site.only<Send>();
@@ -156,7 +156,7 @@
         site.post(CallFailed { send.id, send.attempt, true, "reset" });
         auto reports = site.effects<ReportCrashes>();
         site.wait(1s);
-        return reports.empty() ? RequestFingerprint() : reports.front().report.crashes.front().request;
+        return reports.empty() ? ContentFingerprint() : reports.front().report.crashes.front().request;
     };
     auto first = crashOf("k1");
     CHECK((first == fingerprintForAccount(print, "desk")));
--- a/test/correctness/CrashTest.cpp
+++ b/test/correctness/CrashTest.cpp
@@ -1,8 +1,8 @@
 /** \file
  * Which requests are considered to crash the replicas that run them, and which are not.
  */
+#include "request/fleet/ContentFingerprint.h"
 #include "request/fleet/CrashExchange.h"
-#include "request/fleet/RequestFingerprint.h"
 
 #include <algorithm>
 #include <array>
@@ -17,7 +17,7 @@
 using Status = CrashTracker::Status;
 
 constexpr Instant start { std::chrono::hours(1) };
-constexpr RequestFingerprint request { 7 };
+constexpr ContentFingerprint request { 7 };
 
 ReplicaRun run(int n) { return { "i-" + std::to_string(n), {} }; }
 
@@ -70,7 +70,7 @@
     CHECK(tracker.statusOf(request, start + 1s) == Status::Watched);
     addCrashes(tracker, 3);
     CHECK(tracker.statusOf(request, atThirdCrash) == Status::Refused);
-    CHECK(tracker.statusOf(RequestFingerprint(8), atThirdCrash) == Status::Unknown);
+    CHECK(tracker.statusOf(ContentFingerprint(8), atThirdCrash) == Status::Unknown);
     CHECK(tracker.text(request) == "fingerprint 0000000000000007 has crashed i-0 i-1 i-2");
 }
 
@@ -138,7 +138,7 @@
     CHECK(tracker.take(before, start + 1s).isEmpty());
     tracker.noteCrash(request, run(5), 100ms, start + 3s);
     CHECK(tracker.statusOf(request, start + 3s) == Status::Unknown);
-    CHECK(tracker.noteServed(RequestFingerprint(8), start).isEmpty());
+    CHECK(tracker.noteServed(ContentFingerprint(8), start).isEmpty());
     CHECK(tracker.size() == 1);
 }
 
@@ -165,11 +165,11 @@
     tracker.removeExpired(start + CrashTracker::retentionPeriod + 1us);
     CHECK(tracker.size() == 0);
     for (std::uint64_t i = 0; i < 2 * CrashTracker::maxRequests; ++i)
-        tracker.noteCrash(RequestFingerprint(i + 100), run(1), 100ms, start + i * 1us);
+        tracker.noteCrash(ContentFingerprint(i + 100), run(1), 100ms, start + i * 1us);
     CHECK(tracker.size() <= CrashTracker::maxRequests);
     CHECK(tracker.size() > CrashTracker::maxRequests / 2);
     // The newest are still known.
-    CHECK(tracker.noteCrash(RequestFingerprint(2 * CrashTracker::maxRequests + 99), run(1), 100ms, start + 1s).isEmpty());
+    CHECK(tracker.noteCrash(ContentFingerprint(2 * CrashTracker::maxRequests + 99), run(1), 100ms, start + 1s).isEmpty());
 }
 
 TEST_CASE("a refused request is not evicted by many requests with one crash each")
@@ -177,7 +177,7 @@
     CrashTracker tracker;
     addCrashes(tracker, 3);
     for (std::uint64_t i = 0; i < 2 * CrashTracker::maxRequests; ++i)
-        tracker.noteCrash(RequestFingerprint(i + 100), run(1), 100ms, atThirdCrash + 1s + i * 1us);
+        tracker.noteCrash(ContentFingerprint(i + 100), run(1), 100ms, atThirdCrash + 1s + i * 1us);
     CHECK(tracker.statusOf(request, atThirdCrash + 2s) == Status::Refused);
 }
 
@@ -245,7 +245,7 @@
     CrashExchange exchange;
     CrashReport report;
     for (std::uint64_t i = 0; i < 60; ++i)
-        report.crashes.push_back({ RequestFingerprint(100 + i), "i-1", {}, 0s, 1s });
+        report.crashes.push_back({ ContentFingerprint(100 + i), "i-1", {}, 0s, 1s });
     auto updates = exchange.take(report, start);
     CHECK(updates.controllers.crashes.size() == 60);
     CHECK(updates.gateways.isEmpty());
--- a/test/correctness/DiskMemoryTest.cpp
+++ b/test/correctness/DiskMemoryTest.cpp
@@ -96,11 +96,11 @@
     PersistedCrashes memory(at.folder.path(), at.log, at.refusals);
     CHECK(memory.load().empty());
     replicaMemory.save(replicas({ "a" }));
-    memory.save({ { RequestFingerprint(7), "i-1", ReplicaStart(5), 3s, 100ms }, { RequestFingerprint(7), "", {}, 3s, 100ms } });
+    memory.save({ { ContentFingerprint(7), "i-1", ReplicaStart(5), 3s, 100ms }, { ContentFingerprint(7), "", {}, 3s, 100ms } });
     written(replicaMemory, 1);
     // The one without an id can't be used.
     auto list = written(memory, 1);
-    CHECK((list[0].request == RequestFingerprint(7)));
+    CHECK((list[0].request == ContentFingerprint(7)));
     CHECK((list[0].run() == ReplicaRun { "i-1", ReplicaStart(5) }));
     CHECK(list[0].age == 3s);
 }
--- a/test/correctness/DoorTest.cpp
+++ b/test/correctness/DoorTest.cpp
@@ -160,11 +160,11 @@
     CHECK(names(RegistryList { { { replica("a"), -5s } }, {}, {} }, "age"));
     CHECK(names(RegistryList { {}, { { "a", UpstreamKind::Decode, -1s } }, {} }, "lasts"));
     CHECK(names(RegistryList { {}, {}, { { "" } } }, "id"));
-    CHECK(!faultOf(Message(CrashReport { { { RequestFingerprint(7), "a", {}, 1s, 1s } }, { { RequestFingerprint(7), 1s } } })));
-    CHECK(names(CrashReport { { { RequestFingerprint(7), "", {}, 1s, 1s } }, {} }, "id"));
-    CHECK(names(CrashReport { { { RequestFingerprint(7), "a", {}, -5s, 1s } }, {} }, "age"));
-    CHECK(names(CrashReport { { { RequestFingerprint(7), "a", {}, 1s, -1s } }, {} }, "ranFor"));
-    CHECK(names(CrashReport { {}, { { RequestFingerprint(7), -5s } } }, "age"));
+    CHECK(!faultOf(Message(CrashReport { { { ContentFingerprint(7), "a", {}, 1s, 1s } }, { { ContentFingerprint(7), 1s } } })));
+    CHECK(names(CrashReport { { { ContentFingerprint(7), "", {}, 1s, 1s } }, {} }, "id"));
+    CHECK(names(CrashReport { { { ContentFingerprint(7), "a", {}, -5s, 1s } }, {} }, "age"));
+    CHECK(names(CrashReport { { { ContentFingerprint(7), "a", {}, 1s, -1s } }, {} }, "ranFor"));
+    CHECK(names(CrashReport { {}, { { ContentFingerprint(7), -5s } } }, "age"));
     CHECK(!faultOf(Message(QuotaReport { { { AccountId(7), -3300, 47000, true } }, true, true })));
     CHECK(names(QuotaReport { { { AccountId(7), NAN, 47000 } } }, "uses"));
     CHECK(names(QuotaReport { { { AccountId(7), 1, -1 } } }, "uses"));
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -1036,7 +1036,7 @@
 
 namespace {
 
-constexpr RequestFingerprint crashing { 7 };
+constexpr ContentFingerprint crashing { 7 };
 
 /// A controller's report of a request that has crashed this many replicas, one second apart.
 CrashesReported crashReport(int crashes, Duration newest = 1s)
@@ -1076,7 +1076,7 @@
     CHECK(httpStatusOf(error.code) == 502);
     CHECK(outcomeOf(error.code) == "unknown");
     CHECK(!error.retryAfter);
-    bench.submit("/once/x", {}, RequestFingerprint(8));
+    bench.submit("/once/x", {}, ContentFingerprint(8));
     CHECK(bench.effects<Send>().size() == 1);
     CHECK(bench.finished() == 4);
 }
--- a/test/fuzz/FuzzTest.cpp
+++ b/test/fuzz/FuzzTest.cpp
@@ -267,7 +267,7 @@
         ReservationRequest { {}, Attempt(1), "r-1", 5000, 900, 1800, 64 }, ReservationReply { {}, Attempt(1), true, 900 },
         ReservationEnd { {}, true }, EngineHeadroom { "10.0.0.1:80", 900, 5000 }, PrefillNotice { {}, 5000, false }, RegistryRequest { 7 },
         RegistryList { { { a, 1s } }, { { "i-1", UpstreamKind::Prefill, 6s } }, { { "i-2" } } },
-        CrashReport { { { RequestFingerprint(7), "i-1", {}, 1s, 1s } }, { { RequestFingerprint(8), 1s } } },
+        CrashReport { { { ContentFingerprint(7), "i-1", {}, 1s, 1s } }, { { ContentFingerprint(8), 1s } } },
         QuotaReport { { { AccountId(7), 3300, 47000, true } }, true, true },
         QuotaTotals { { { AccountId(7), 3300, 5000, 0, true } }, true },
         ReplicaRateLimits { { { "i-1", {}, 1.5, 1 }, { "i-2", {}, {}, 2 } } },
--- a/test/support/ForwardBench.h
+++ b/test/support/ForwardBench.h
@@ -92,7 +92,7 @@
         return std::all_of(loads.begin(), loads.end(), [this](const auto& item) { return m_logic.replicas().registry().find(item.first); });
     }
 
-    RequestId submit(const std::string& path, std::optional<Duration> callerTimeout = {}, RequestFingerprint fingerprint = {},
+    RequestId submit(const std::string& path, std::optional<Duration> callerTimeout = {}, ContentFingerprint fingerprint = {},
         const std::string& key = "", RequestMetadata request = {})
     {
         RequestId id { PeerId(1), ++m_sequence };
