Requests with a part of their prompt that crashes replicas are refused

Cause: a crash was recorded under the whole request alone, and no two of these requests are alike.

One mechanism now keeps the evidence of requests and of parts. Three crashes convict content, unless an answer that has been under way for 0.5 s clears it (also up to 30 s later, and for the same software only) or one other convicted content that the request does not have explains the crashes; so the first part of all prompts is not refused. Five crashes at one moment are a suspicion that one trial decides. Trials are one at a time over all gateways: the one that saw the last crash makes them. Both routers; before sidecars blocks of the prompt are its parts.

--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -76,7 +76,20 @@
 
     Fault check(const ReplicaCrash& crash) { return faultOf(crash); }
 
-    Fault check(const ServedAfterCrash& served) { return faultOfAge(served.age); }
+    Fault faultOfSoftware(const ReplicaSoftware& software)
+    {
+        if (software.service.size() > longestName || software.version.size() > longestName)
+            return wrong(
+                "software", "names of at most " + std::to_string(longestName) + " bytes", software.service + " " + software.version);
+        return std::nullopt;
+    }
+
+    Fault check(const ServedAfterCrash& served)
+    {
+        if (auto fault = served.software ? faultOfSoftware(*served.software) : std::nullopt)
+            return fault;
+        return faultOfAge(served.age);
+    }
 
     Fault check(const AccountUsage& use)
     {
@@ -270,6 +283,10 @@
 {
     if (auto fault = faultOfId(crash.replica))
         return fault;
+    if (auto fault = faultOfSoftware(crash.software))
+        return fault;
+    if (crash.reporter.size() > longestName)
+        return wrong("reporter", "at most " + std::to_string(longestName) + " bytes", crash.reporter);
     if (crash.ranFor < Duration::zero() || crash.ranFor > longestSpan)
         return wrong("ranFor", "a span of time from zero", std::to_string(crash.ranFor.count()) + " us");
     return faultOfAge(crash.age);
--- a/src/process/CrashRelay.cpp
+++ b/src/process/CrashRelay.cpp
@@ -48,8 +48,8 @@
     auto updates = m_exchange.take(report, now);
     if (onChange && !updates.gateways.isEmpty())
         onChange(m_exchange.snapshotFor(Role::Gateway, now).crashes);
-    for (const auto& request : updates.refused)
-        m_log.write({ EventCode::RequestCrashesReplicas, {}, m_exchange.tracker().text(request) });
+    for (const auto& content : updates.convicted)
+        m_log.write({ EventCode::RequestCrashesReplicas, {}, m_exchange.tracker().text(content) });
     for (const auto& peer : m_hub.peers()) {
         if (peer.id != from && peer.role != Role::Sidecar)
             send(peer.id, peer.role == Role::Controller ? updates.controllers : updates.gateways);
--- a/src/request/fleet/CrashExchange.cpp
+++ b/src/request/fleet/CrashExchange.cpp
@@ -10,16 +10,17 @@
 {
     Updates updates;
     updates.controllers = m_tracker.take(report, now);
-    std::set<ContentFingerprint> requests;
+    std::set<ContentFingerprint> contents;
     for (const auto& crash : updates.controllers.crashes)
-        requests.insert(crash.request);
-    for (const auto& request : requests) {
-        auto status = m_tracker.statusOf(request, now);
-        // All crashes of the request, not just the new ones: gateways know only those that they observed themselves, and ignore duplicates.
+        contents.insert(crash.content);
+    for (const auto& content : contents) {
+        auto status = m_tracker.statusOf(content, now);
+        // All crashes under the content, not just the new ones: gateways know only those that they observed themselves, and ignore
+        // duplicates.
         if (status >= Status::Watched)
-            m_tracker.describe(request, updates.gateways, now);
-        if (status == Status::Refused)
-            updates.refused.push_back(request);
+            m_tracker.describe(content, updates.gateways, now);
+        if (status == Status::Convicted)
+            updates.convicted.push_back(content);
     }
     updates.gateways.served = updates.controllers.served;
     return updates;
--- a/src/request/fleet/CrashExchange.h
+++ b/src/request/fleet/CrashExchange.h
@@ -1,8 +1,8 @@
 /** \file
  * Decides which crashes of replicas a controller passes on, and to whom.
  *
- * New crashes go to all other controllers, since a gateway may reach only one side of a network partition. Gateways receive the crashes of
- * a request only once one more crash would have it refused, and each further one after that: an engine that crashes leaves some tens of
+ * New crashes go to all other controllers, since a gateway may reach only one side of a network partition. Gateways receive the crashes
+ * under some content only once one more crash would convict it, and each further one after that: an engine that crashes leaves some tens of
  * requests with one crash each, and sending these to a hundred gateways would cost thousands of messages to no effect. A process that
  * connects receives a snapshot, so that a gateway or controller that restarts knows what it knew before.
  */
@@ -17,7 +17,7 @@
     struct Updates {
         CrashReport controllers;
         CrashReport gateways;
-        std::vector<ContentFingerprint> refused; ///< Requests in the report that are refused and had a new crash.
+        std::vector<ContentFingerprint> convicted; ///< Content in the report that is convicted and had a new crash.
     };
 
     /// \returns what to pass on to all but the sender.
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -62,6 +62,7 @@
 void ForwardLogic::forwardEvents(Flow& flow, std::string bytes, Instant now)
 {
     for (auto& event : flow.splitter.push(bytes)) {
+        noteSurvival(flow, now);
         // A replica that resumes a stream may repeat the event after which it was asked to resume.
         if (event.id && flow.lastEventId && *event.id <= *flow.lastEventId)
             continue;
@@ -298,6 +299,7 @@
     endSidecarReservation(flow, false);
     auto id = flow.id;
     m_queue.remove(id);
+    m_trials.end(id);
     m_awaitingHolders.erase({ flow.stream, id });
     m_wakes.erase({ flow.nextCheckAt, id });
     m_flows.erase(id);
--- a/src/request/forward/ForwardCrashes.cpp
+++ b/src/request/forward/ForwardCrashes.cpp
@@ -1,5 +1,5 @@
 /** \file
- * The part of ForwardLogic for requests that crash the replicas which run them (CrashTracker).
+ * The part of ForwardLogic for requests and parts of prompts that crash the replicas which run them (CrashTracker).
  */
 #include "request/forward/ForwardLogic.h"
 
@@ -7,25 +7,52 @@
 
 using namespace forward;
 
+namespace {
+
+    /// Interval at which an answer that goes on is noted again: several within the time for which that counts.
+    constexpr Duration survivalInterval = 1s;
+
+} // namespace
+
+/// What runs at the replica of the current call, as far as it is known.
+ReplicaSoftware ForwardLogic::softwareOf(const Flow& flow) const
+{
+    const auto* entry = m_replicas.registry().find(flow.replica);
+    return { flow.service, entry ? entry->announcement.softwareVersion : flow.softwareVersion };
+}
+
 /// Records that the connection of the flow's call was closed before the answer was complete. A draining replica also closes its
 /// connections, so that is not counted as a crash.
 void ForwardLogic::noteCrash(const Flow& flow, Instant now)
 {
     const auto* entry = m_replicas.registry().find(flow.replica);
     bool isLeaving = entry && entry->announcement.state == ReplicaState::Draining;
-    auto fingerprint = flow.request.fingerprint;
-    if (isLeaving || fingerprint == ContentFingerprint())
-        return;
-    auto changes = m_crashes.noteCrash(fingerprint, flow.replica, now - flow.sentAt, now);
-    if (changes.isEmpty())
+    if (isLeaving)
         return;
+    auto answeredFor = flow.answeringSince ? now - *flow.answeringSince : Duration::zero();
+    auto changes = m_crashes.noteCrash(flow.content, flow.replica, softwareOf(flow), now - flow.sentAt, answeredFor, now);
+    for (const auto& crash : changes.crashes)
+        recordIfConvicted(crash.content, now);
     reportCrashes(std::nullopt, std::move(changes));
-    recordIfRefused(fingerprint, now);
 }
 
 void ForwardLogic::noteServed(const Flow& flow, Instant now)
 {
-    reportCrashes(std::nullopt, m_crashes.noteServed(flow.request.fingerprint, now));
+    auto isTrial = m_trials.isTrial(flow.id);
+    reportCrashes(
+        std::nullopt, isTrial ? m_crashes.noteTrialServed(flow.content, now) : m_crashes.noteServed(flow.content, softwareOf(flow), now));
+}
+
+/// Called with each event of an answer.
+void ForwardLogic::noteSurvival(Flow& flow, Instant now)
+{
+    if (!flow.answeringSince)
+        flow.answeringSince = now;
+    bool isDue = now - *flow.answeringSince >= CrashTracker::survivalTime && now - flow.survivalNotedAt >= survivalInterval;
+    if (!isDue || flow.content.parts.empty())
+        return;
+    flow.survivalNotedAt = now;
+    reportCrashes(std::nullopt, m_crashes.noteSurvived(flow.content, softwareOf(flow), now));
 }
 
 /// \param controller the receiver; nothing: all controllers.
@@ -37,30 +64,34 @@
 
 bool ForwardLogic::crashesReplicas(const Flow& flow, Instant now) const
 {
-    return m_crashes.statusOf(flow.request.fingerprint, now) == CrashTracker::Status::Refused;
+    return !m_trials.mayRun(flow.id, m_crashes.convictionsOf(flow.content), now);
 }
 
-/// An earlier request with the same fingerprint may have run, so the answer doesn't say "not run", and it has no Retry-After.
+/// The request, which may run, is the one that tries its convicted content, if it has any.
+void ForwardLogic::tryConvicted(const Flow& flow) { m_trials.begin(flow.id, m_crashes.convictionsOf(flow.content)); }
+
+/// The status doesn't say "not run": an earlier request that is the same may have run. There is no Retry-After, as another attempt would be
+/// refused too.
 void ForwardLogic::refuseAsCrashing(Flow& flow, Instant now)
 {
-    refuse(flow, ResultCode::CrashesReplicas, CrashTracker::refusalReason, now);
+    refuse(flow, ResultCode::CrashesReplicas, m_crashes.refusalReason(flow.content, flow.runs > 0), now);
 }
 
-void ForwardLogic::recordIfRefused(ContentFingerprint fingerprint, Instant now)
+void ForwardLogic::recordIfConvicted(ContentFingerprint content, Instant now)
 {
-    if (m_crashes.statusOf(fingerprint, now) != CrashTracker::Status::Refused || !m_newCrashFingerprints.insert(fingerprint).second)
+    if (m_crashes.statusOf(content, now) != CrashTracker::Status::Convicted)
         return;
-    m_effects.push_back(LogEvent { EventCode::RequestCrashesReplicas, {}, m_crashes.text(fingerprint) });
+    m_hasNewConviction = true;
+    m_effects.push_back(LogEvent { EventCode::RequestCrashesReplicas, {}, m_crashes.text(content) });
 }
 
-/// Refuses the requests whose fingerprint was refused in this step and that have not run yet: each would crash another replica.
-void ForwardLogic::refuseNewCrashFingerprints(Instant now)
+/// Refuses the requests whose content was convicted in this step and that have not run yet: each would crash another replica.
+void ForwardLogic::refuseNewlyConvicted(Instant now)
 {
-    auto refused = std::exchange(m_newCrashFingerprints, {});
     std::vector<RequestId> ids;
     for (const auto& [id, flow] : m_flows) {
         bool hasRun = flow.hasStreamStarted || (flow.isCalling && flow.stage == Flow::Stage::Running);
-        if (refused.contains(flow.request.fingerprint) && !hasRun)
+        if (!hasRun && crashesReplicas(flow, now))
             ids.push_back(id);
     }
     for (const auto& id : ids) {
@@ -81,8 +112,9 @@
 void ForwardLogic::on(const CrashesReported& event, Instant now)
 {
     auto changes = m_crashes.take(event.report, now);
+    reportCrashes(std::nullopt, m_crashes.refute(event.report, now));
     for (const auto& crash : changes.crashes)
-        recordIfRefused(crash.request, now);
+        recordIfConvicted(crash.content, now);
 }
 
 } // namespace wrenhinge
--- a/src/request/forward/ForwardFlow.h
+++ b/src/request/forward/ForwardFlow.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "request/fleet/CrashTracker.h"
 #include "request/forward/ForwardEffects.h"
 #include "request/forward/ForwardEvents.h"
 #include "request/forward/ReservationQueue.h"
@@ -25,6 +26,7 @@
     forward::RequestMetadata request;
     std::shared_ptr<const RouteTable> table; ///< Keeps the route alive when a newer document replaces it.
     const Route* route = nullptr;
+    RequestContent content; ///< What may crash the replicas that process the request.
     const AccountRule* account = nullptr; ///< The caller's account; nullptr: the document has no accounts, or the route needs none.
     double chargedQuota = 0; ///< Charged to the account's quota for this request.
     std::string service;
@@ -63,6 +65,9 @@
     std::string prefillReplicaAddress;
     bool hasLostKvCache = false; ///< The replica that had read the prompt restarted before the current call was answered.
 
+    std::optional<Instant> answeringSince; ///< When the first event of the current call arrived.
+    Instant survivalNotedAt; ///< When the answer was last noted as one under which the replica does not crash.
+
     // The answer to the current call.
     bool hasHead = false;
     forward::AnswerMetadata metadata;
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -55,6 +55,8 @@
     , m_budget(m_settings.budget)
     , m_quotas(m_settings.quotas, m_settings.name)
     , m_limits(m_settings.seed)
+    , m_crashes(m_settings.name)
+    , m_trials(m_settings.name)
     , m_random(m_settings.seed)
 {
 }
@@ -62,8 +64,8 @@
 ForwardLogic::Effects ForwardLogic::step(const Event& event, Instant now)
 {
     std::visit([this, now](const auto& e) { on(e, now); }, event);
-    if (!m_newCrashFingerprints.empty())
-        refuseNewCrashFingerprints(now);
+    if (std::exchange(m_hasNewConviction, false))
+        refuseNewlyConvicted(now);
     if (std::exchange(m_shouldAdmit, false))
         admitWaiting(now);
     scheduleLoadReport(now);
@@ -159,6 +161,7 @@
     flow.deadline = flow.arrivedAt + std::min(request.callerTimeout.value_or(flow.route->timeout), flow.route->timeout);
     if (flow.deadline <= now)
         return refuse(flow, ResultCode::DeadlineUnreachable, "the deadline had passed when the request was received", now);
+    flow.content = { request.fingerprint, request.promptParts };
     flow.lastEventId = request.resumeAfter;
     flow.stream = streamIdOf(accountOf(flow).value_or(""), request.resumedRequest.value_or(request.callerRequestId));
     m_effects.push_back(LogEvent { EventCode::RequestReceived, flow.id,
@@ -182,6 +185,7 @@
         return;
     if (crashesReplicas(flow, now))
         return refuseAsCrashing(flow, now);
+    tryConvicted(flow);
     if (mayOutliveProcess(flow))
         return refuseAsDraining(flow, now);
     if (!chargeQuota(flow, now))
@@ -346,6 +350,7 @@
     flow.replica = choice.run;
     flow.replicaAddress = choice.address;
     flow.sentAt = flow.lastEventAt = now;
+    flow.answeringSince.reset();
     flow.hasHead = false;
     flow.body.clear();
     flow.splitter.clear();
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -8,7 +8,8 @@
  *   stream is passed on event by event, and resumes at another replica after the last complete event if the route allows it.
  * - A stream continues only at replicas of the service and the software version that began it, also if its caller resumes it at another
  *   gateway. If no process knows these, the request is refused.
- * - A request that crashes the replicas which run it is refused, whichever gateway receives it (CrashTracker).
+ * - A request that crashes the replicas which run it, or that has a part in its prompt which does, is refused, whichever gateway receives
+ *   it (CrashTracker).
  * - If the document has accounts, a request runs only for the account whose key its caller presents.
  * - A request of an account that has used up its quota is refused before any other resource is used.
  * - A replica that states a request rate limit gets no more than that from all gateways together (ReplicaLimits). Other replicas of its
@@ -19,6 +20,7 @@
 #pragma once
 
 #include "request/engine/EngineLoad.h"
+#include "request/fleet/ConvictionTrials.h"
 #include "request/fleet/CrashTracker.h"
 #include "request/fleet/RegistryFollower.h"
 #include "request/fleet/ReplicaLimits.h"
@@ -196,11 +198,14 @@
     // Requests that crash replicas (ForwardCrashes.cpp).
     void noteCrash(const Flow&, Instant);
     void noteServed(const Flow&, Instant);
+    void noteSurvival(Flow&, Instant);
+    [[nodiscard]] ReplicaSoftware softwareOf(const Flow&) const;
     void reportCrashes(std::optional<PeerId> controller, CrashReport);
     [[nodiscard]] bool crashesReplicas(const Flow&, Instant) const;
+    void tryConvicted(const Flow&);
     void refuseAsCrashing(Flow&, Instant);
-    void recordIfRefused(ContentFingerprint, Instant);
-    void refuseNewCrashFingerprints(Instant);
+    void recordIfConvicted(ContentFingerprint, Instant);
+    void refuseNewlyConvicted(Instant);
     // Replicas that restart or change their software (ForwardReplicas.cpp).
     void abandonFormerRuns(const ReplicaRun& newest, Instant);
     void abandonFormerRuns(Flow&, const ReplicaRun& newest, Instant);
@@ -262,7 +267,8 @@
     StreamDirectoryClient m_streams;
     std::set<std::pair<StreamId, RequestId>> m_awaitingHolders; ///< Requests that wait for a holder's reply about a stream.
     CrashTracker m_crashes;
-    std::set<ContentFingerprint> m_newCrashFingerprints; ///< Requests with these that have not run are refused at the end of the step.
+    ConvictionTrials m_trials;
+    bool m_hasNewConviction = false; ///< Requests with convicted content that have not run are refused at the end of the step.
     LoadShedder m_shedder; ///< For plain services; engines have reservations.
     StreamForecast m_forecast;
     std::optional<Instant> m_shutdownAt; ///< When this process exits; set once shutdown has begun.
--- a/src/request/sidecar/GatewayContext.cpp
+++ b/src/request/sidecar/GatewayContext.cpp
@@ -8,6 +8,11 @@
 
     constexpr double retryAfterSpread = 0.25;
     constexpr Duration defaultRetryAfter = 1s;
+    /// Interval at which an answer that goes on is noted again: several within the time for which that counts.
+    constexpr Duration survivalInterval = 1s;
+
+    /// The seed is drawn anew at each start, so this names one run of the process.
+    std::string processName(std::uint64_t seed) { return toString(PeerId(seed)); }
 
     bool isRetryable(ResultCode code)
     {
@@ -46,6 +51,8 @@
     : safeguards(safeguards)
     , placement(upstreams, seed)
     , follower(safeguards.neverStepsBack)
+    , crashes(processName(seed))
+    , trials(processName(seed))
 {
 }
 
@@ -111,27 +118,46 @@
 {
     auto crashTime = static_cast<std::uint64_t>(now.time_since_epoch() / 1ms);
     ReplicaRun run { toString(upstream), ReplicaStart(crashTime) };
-    auto report = crashes.noteCrash(request.fingerprint, run, now - request.sentAt, now);
-    if (report.isEmpty())
-        return;
-    sendToControllers(std::move(report));
-    if (crashesReplicas(request, now))
-        note(EventCode::RequestCrashesReplicas, {}, crashes.text(request.fingerprint));
+    auto answeredFor = request.summary.tokens ? now - request.firstTokenAt : Duration::zero();
+    auto report = crashes.noteCrash(request.content, run, { request.caller.service, "" }, now - request.sentAt, answeredFor, now);
+    for (const auto& crash : report.crashes) {
+        if (crashes.statusOf(crash.content, now) == CrashTracker::Status::Convicted)
+            note(EventCode::RequestCrashesReplicas, {}, crashes.text(crash.content));
+    }
+    reportCrashes(std::move(report));
 }
 
 bool GatewayContext::crashesReplicas(const GatewayRequest& request, Instant now) const
 {
-    return safeguards.refusesCrashingRequests && crashes.statusOf(request.fingerprint, now) == CrashTracker::Status::Refused;
+    return safeguards.refusesCrashingRequests && !trials.mayRun(request.id, crashes.convictionsOf(request.content), now);
 }
 
+void GatewayContext::tryConvicted(const GatewayRequest& request) { trials.begin(request.id, crashes.convictionsOf(request.content)); }
+
 void GatewayContext::refuseAsCrashing(GatewayRequest& request, Instant now)
 {
-    failRequest(request, ResultCode::CrashesReplicas, CrashTracker::refusalReason, now);
+    failRequest(request, ResultCode::CrashesReplicas, crashes.refusalReason(request.content, request.sentAt != Instant()), now);
 }
 
 void GatewayContext::noteServed(const GatewayRequest& request, Instant now)
 {
-    if (auto report = crashes.noteServed(request.fingerprint, now); !report.isEmpty())
+    bool isTrial = trials.isTrial(request.id);
+    reportCrashes(
+        isTrial ? crashes.noteTrialServed(request.content, now) : crashes.noteServed(request.content, { request.caller.service, "" }, now));
+}
+
+void GatewayContext::noteSurvival(GatewayRequest& request, Instant now)
+{
+    bool isDue = now - request.firstTokenAt >= CrashTracker::survivalTime && now - request.survivalNotedAt >= survivalInterval;
+    if (!isDue || request.content.parts.empty())
+        return;
+    request.survivalNotedAt = now;
+    reportCrashes(crashes.noteSurvived(request.content, { request.caller.service, "" }, now));
+}
+
+void GatewayContext::reportCrashes(CrashReport report)
+{
+    if (!report.isEmpty())
         sendToControllers(std::move(report));
 }
 
@@ -163,6 +189,7 @@
     completeSummary(request, code);
     limits.release(request.caller.account);
     effects.push_back(gateway::Finished { request.summary });
+    trials.end(request.id);
     requests.erase(request.id);
 }
 
--- a/src/request/sidecar/GatewayContext.h
+++ b/src/request/sidecar/GatewayContext.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/Safeguards.h"
+#include "request/fleet/ConvictionTrials.h"
 #include "request/fleet/CrashTracker.h"
 #include "request/sidecar/AccountLimits.h"
 #include "request/sidecar/GatewayEvents.h"
@@ -36,7 +37,7 @@
 struct GatewayRequest {
     RequestId id;
     CallerRequest caller;
-    ContentFingerprint fingerprint; ///< Equal for identical requests of an account.
+    RequestContent content; ///< What may crash the replicas that process the request.
     ServiceRules rules;
     Priority priority = Priority::Normal;
     RequestPhase phase = RequestPhase::New;
@@ -66,6 +67,7 @@
     std::uint64_t answerBytes = 0; ///< Sent to the caller so far.
     Instant firstTokenAt;
     Instant lastTokenAt;
+    Instant survivalNotedAt; ///< When the answer was last noted as one under which the replica does not crash.
     RequestSummary summary;
 };
 
@@ -82,6 +84,7 @@
     ConfigFollower follower;
     ControllerClient controllers;
     CrashTracker crashes;
+    ConvictionTrials trials;
     std::unordered_map<RequestId, GatewayRequest> requests;
     std::vector<gateway::Effect> effects;
 
@@ -102,11 +105,17 @@
     void upstreamSucceeded(PeerId);
     /// Records that the upstream's connection closed while it worked on the request, and reports it to the controllers.
     void noteCrash(const GatewayRequest&, PeerId upstream, Instant now);
-    /// Whether identical requests have crashed replicas, so that this one must not run.
+    /// Whether identical requests, or others with the same beginning of their prompts, have crashed replicas, so that this one must not
+    /// run.
     [[nodiscard]] bool crashesReplicas(const GatewayRequest&, Instant now) const;
+    /// Records that the request, which may run, is the one that tries its convicted content, if it has any.
+    void tryConvicted(const GatewayRequest&);
     void refuseAsCrashing(GatewayRequest&, Instant now);
     /// Records that the request was answered completely, which clears the crashes recorded for it.
     void noteServed(const GatewayRequest&, Instant now);
+    /// Records that tokens of the answer have arrived, which clears crashes of the prompt's parts once there have been some for a while.
+    void noteSurvival(GatewayRequest&, Instant now);
+    void reportCrashes(CrashReport);
     /// Keeps the smallest retry delay of several refusals.
     static void keepEarliestRetryAfter(GatewayRequest&, Duration);
     /// Removes the request and emits its summary.
--- a/src/request/sidecar/GatewayLogic.cpp
+++ b/src/request/sidecar/GatewayLogic.cpp
@@ -12,6 +12,20 @@
     /// Used while a proposal is pending, so that its retransmission is sent on time.
     constexpr Duration proposalTickInterval = 20ms;
     constexpr Duration crashExpiryInterval = 10s;
+    /// The most blocks of a prompt whose crashes are counted.
+    constexpr std::size_t maxBlocks = 128;
+
+    /// A block's hash covers the prompt up to its end, so a part is a beginning of the prompt here, and prompts that share one share all
+    /// shorter ones. The last block belongs to this prompt alone.
+    RequestContent contentOf(const CallerRequest& caller)
+    {
+        RequestContent content;
+        content.request = fingerprintForAccount(fingerprintOf({ caller.method, {}, caller.target, caller.body }), caller.account);
+        const auto& blocks = caller.prefixBlocks;
+        for (std::size_t i = 0; i + 1 < blocks.size() && i < maxBlocks; ++i)
+            content.parts.push_back(fingerprintOfPart(std::to_string(blocks[i])));
+        return content;
+    }
 
     std::uint64_t contentHashOf(const CallerRequest& caller)
     {
@@ -60,7 +74,7 @@
     auto& request = m_context.requests[event.request];
     request.id = event.request;
     request.caller = caller;
-    request.fingerprint = fingerprintForAccount(fingerprintOf({ caller.method, {}, caller.target, caller.body }), caller.account);
+    request.content = contentOf(caller);
     request.rules = rules.value();
     bool isUrgent = request.rules.urgent == UrgentRule::Always || (request.rules.urgent == UrgentRule::OnRequest && caller.asksUrgent);
     request.priority = isUrgent ? Priority::Urgent : Priority::Normal;
@@ -80,7 +94,7 @@
         .code = ResultCode::Ok,
         .isGeneration = isGeneration };
     m_context.note(EventCode::RequestReceived, request.id,
-        caller.service + (isUrgent ? ", urgent" : "") + ", fingerprint " + toString(request.fingerprint));
+        caller.service + (isUrgent ? ", urgent" : "") + ", fingerprint " + toString(request.content.request));
     withFlow(request, [&](auto& flow) { flow.begin(request, now); });
 }
 
@@ -290,7 +304,11 @@
         onDecided(*done, now);
 }
 
-void GatewayLogic::onMessage(PeerId, const CrashReport& message, Instant now) { m_context.crashes.take(message, now); }
+void GatewayLogic::onMessage(PeerId, const CrashReport& message, Instant now)
+{
+    m_context.crashes.take(message, now);
+    m_context.reportCrashes(m_context.crashes.refute(message, now));
+}
 
 void GatewayLogic::onDecided(const ControllerClient::Decided& done, Instant now)
 {
--- a/src/request/sidecar/GenerationFlow.cpp
+++ b/src/request/sidecar/GenerationFlow.cpp
@@ -31,6 +31,7 @@
 {
     if (m_context.crashesReplicas(request, now))
         return m_context.refuseAsCrashing(request, now);
+    m_context.tryConvicted(request);
     auto remaining = request.startDeadline - now;
     if (request.placementAttempts++ >= maxPlacements || remaining <= Duration::zero())
         return refuse(request, request.retryAfter ? ResultCode::Overloaded : ResultCode::DeadlineUnreachable, now);
@@ -154,6 +155,7 @@
         if (!request.summary.tokens)
             request.firstTokenAt = now;
         request.lastTokenAt = now;
+        m_context.noteSurvival(request, now);
         request.summary.tokens += data.tokens;
         request.unusedPrefillTokens = 0;
     }
--- a/src/request/sidecar/PlainFlow.cpp
+++ b/src/request/sidecar/PlainFlow.cpp
@@ -24,6 +24,7 @@
 {
     if (m_context.crashesReplicas(request, now))
         return m_context.refuseAsCrashing(request, now);
+    m_context.tryConvicted(request);
     if (request.placementAttempts++ >= maxPlacements || now >= request.startDeadline)
         return m_context.failRequest(
             request, ResultCode::Overloaded, "no replica can start this call in time; it was not run, retry later", now);
