A gateway that receives most callers uses engines whose sidecars admit it, beyond its share of their connections

A gateway's calls at one replica were bounded by an even part of the replica's connections, so that the gateway that all callers reach refused them with 'no replica of the service can take another call' while engines had free slots. Where an engine has a sidecar, that sees all requests and admits no more than the engine runs at once; the share says nothing there. ConnectionShareTest: 2 of 6 admitted before, 6 now; without a sidecar 2, as before. Open: plain services and engines without sidecars still go by shares; with 300 gateways that is one call at a replica.

--- a/src/request/forward/ReplicaTable.cpp
+++ b/src/request/forward/ReplicaTable.cpp
@@ -105,8 +105,10 @@
         if (tried.contains(run))
             continue;
         const auto& load = m_loads[run];
-        bool isAtLimit = criteria.maxCalls && load.calls >= criteria.maxCalls;
         const auto* headroom = m_engineHeadroom.find(entry.announcement.address);
+        // A reservation is made at the engine's sidecar, which admits no more requests than the engine runs at once, from all gateways.
+        bool isAdmittedBySidecar = criteria.excludeFull && headroom;
+        bool isAtLimit = criteria.maxCalls && load.calls >= criteria.maxCalls && !isAdmittedBySidecar;
         bool isFull = load.fullUntil > now || (headroom && headroom->tokens < criteria.minFreeTokens);
         if (criteria.excludeOverdue && entry.isOverdue(now))
             continue;
