--- a/test/failure/CrashFleetTest.cpp
+++ b/test/failure/CrashFleetTest.cpp
@@ -60,7 +60,11 @@
     SUBCASE("behind the part that all prompts begin with") { }
     SUBCASE("at the beginning") { settings.isCrashingPartFirst = true; }
     SUBCASE("many a second") { settings.crashingPerSecond = 40; }
-    SUBCASE("few a second") { settings.crashingPerSecond = 0.7; }
+    SUBCASE("few a second")
+    {
+        settings.crashingPerSecond = 0.7;
+        settings.playFor = 40s;
+    }
     SUBCASE("at one of many gateways") { settings.gateways = 30; }
     SUBCASE("two such parts") { settings.crashingParts = 2; }
     SUBCASE("beside few sound requests, each with a document of its own")
