--- a/test/support/StreamFleet.h
+++ b/test/support/StreamFleet.h
@@ -4,14 +4,13 @@
  */
 #pragma once
 
+#include "Agenda.h"
 #include "request/fleet/StreamDirectory.h"
 #include "request/forward/ForwardLogic.h"
 
 #include <algorithm>
-#include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -46,7 +45,7 @@
 
     explicit StreamFleet(const Settings& settings)
         : m_settings(settings)
-        , m_random(settings.seed)
+        , m_agenda(settings.seed)
     {
         for (int i = 0; i < settings.holders; ++i)
             m_holders.push_back({ newPeer(), {} });
@@ -61,19 +60,13 @@
 
     Outcome play()
     {
-        m_end = m_now + m_settings.playFor;
-        repeat(m_settings.streamsPerSecond, [this] { beginStream(); });
-        repeat(m_settings.gatewayRestarts, [this] { restartGateway(pick(m_gateways.size())); });
-        repeat(m_settings.holderRestarts, [this] { restartHolder(pick(m_holders.size())); });
-        repeat(m_settings.replicaRestarts, [this] { restartReplica(pick(m_replicas.size())); });
-        repeat(m_settings.cuts, [this] { cut(pick(m_gateways.size()), pick(m_holders.size())); });
-        while (!m_agenda.empty() && m_agenda.begin()->first < m_end + 2 * callerTimeout) {
-            auto first = m_agenda.begin();
-            m_now = first->first;
-            auto action = std::move(first->second);
-            m_agenda.erase(first);
-            action();
-        }
+        m_end = m_agenda.now + m_settings.playFor;
+        m_agenda.repeat(m_settings.streamsPerSecond, m_end, [this] { beginStream(); });
+        m_agenda.repeat(m_settings.gatewayRestarts, m_end, [this] { restartGateway(m_agenda.pick(m_gateways.size())); });
+        m_agenda.repeat(m_settings.holderRestarts, m_end, [this] { restartHolder(m_agenda.pick(m_holders.size())); });
+        m_agenda.repeat(m_settings.replicaRestarts, m_end, [this] { restartReplica(m_agenda.pick(m_replicas.size())); });
+        m_agenda.repeat(m_settings.cuts, m_end, [this] { cut(m_agenda.pick(m_gateways.size()), m_agenda.pick(m_holders.size())); });
+        m_agenda.runUntil(m_end + 2 * callerTimeout);
         for (const auto& stream : m_streams) {
             m_outcome.begun += !stream.versions.empty();
             m_outcome.mixed += stream.versions.size() > 1;
@@ -117,26 +110,8 @@
         RequestId id;
     };
 
-    // --- Time and chance ------------------------------------------------------------------------------------------
+    // --- Ids -----------------------------------------------------------------------------------------------------------
 
-    void after(Duration delay, std::function<void()> action) { m_agenda.emplace(m_now + delay, std::move(action)); }
-    std::size_t pick(std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(m_random); }
-    Duration between(Duration from, Duration to)
-    {
-        return Duration(std::uniform_int_distribution<std::int64_t>(from.count(), to.count())(m_random));
-    }
-    void repeat(double perSecond, const std::function<void()>& action)
-    {
-        if (perSecond <= 0)
-            return;
-        auto pause = std::exponential_distribution<double>(perSecond)(m_random);
-        after(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause)), [this, perSecond, action] {
-            if (m_now >= m_end)
-                return;
-            action();
-            repeat(perSecond, action);
-        });
-    }
     PeerId newPeer() { return PeerId(++m_lastPeer * 0x9e3779b97f4a7c15ULL); }
     std::string newReplicaId() { return "i-" + std::to_string(++m_lastReplica); }
 
@@ -168,7 +143,7 @@
         auto& gateway = m_gateways[g];
         gateway = {};
         gateway.id = newPeer();
-        ForwardLogic::Settings settings { "z", m_random(), { 1, 100000, 100ms } };
+        ForwardLogic::Settings settings { "z", m_agenda.random(), { 1, 100000, 100ms } };
         gateway.logic = std::make_unique<ForwardLogic>(std::move(settings));
         step(g, forward::DocumentReceived { document(), true });
         step(g, RegistryHeartbeat { {}, static_cast<std::uint32_t>(m_settings.gateways) });
@@ -182,7 +157,7 @@
         auto streams = m_gateways[g].streams;
         startGateway(g);
         for (const auto& [id, stream] : streams) {
-            after(between(1ms, 300ms), [this, id = id, stream = stream] {
+            m_agenda.after(m_agenda.between(1ms, 300ms), [this, id = id, stream = stream] {
                 if (m_streams[stream].isOpen && m_streams[stream].id == id)
                     takeUp(stream);
             });
@@ -191,7 +166,7 @@
 
     void connect(std::size_t g, std::size_t h)
     {
-        after(between(1ms, 300ms), [this, g, h, gateway = m_gateways[g].id, holder = m_holders[h].id] {
+        m_agenda.after(m_agenda.between(1ms, 300ms), [this, g, h, gateway = m_gateways[g].id, holder = m_holders[h].id] {
             bool isCurrent = m_gateways[g].id == gateway && m_holders[h].id == holder && !m_gateways[g].cutFrom.contains(h);
             if (isCurrent)
                 step(g, forward::StreamHolderConnected { holder, Role::Controller, "z" + std::to_string(h % 3) });
@@ -210,11 +185,11 @@
         if (!m_gateways[g].cutFrom.insert(h).second)
             return;
         auto isSame = [this, g, gateway = m_gateways[g].id] { return m_gateways[g].id == gateway; };
-        after(silenceLimit, [this, g, isSame, holder = m_holders[h].id] {
+        m_agenda.after(silenceLimit, [this, g, isSame, holder = m_holders[h].id] {
             if (isSame())
                 step(g, forward::PeerDisconnected { holder });
         });
-        after(silenceLimit + between(1s, 4s), [this, g, h, isSame] {
+        m_agenda.after(silenceLimit + m_agenda.between(1s, 4s), [this, g, h, isSame] {
             if (!isSame())
                 return;
             m_gateways[g].cutFrom.erase(h);
@@ -238,9 +213,9 @@
     void restartReplica(std::size_t r)
     {
         auto former = m_replicas[r].id;
-        m_replicas[r] = { newReplicaId(), versions[pick(versions.size())] };
+        m_replicas[r] = { newReplicaId(), versions[m_agenda.pick(versions.size())] };
         for (std::size_t g = 0; g < m_gateways.size(); ++g) {
-            after(between(1ms, 500ms), [this, g, r, id = m_replicas[r].id] {
+            m_agenda.after(m_agenda.between(1ms, 500ms), [this, g, r, id = m_replicas[r].id] {
                 if (m_replicas[r].id == id)
                     announce(g, m_replicas[r]);
             });
@@ -256,14 +231,14 @@
     void beginStream()
     {
         m_streams.emplace_back();
-        m_streams.back().giveUpAt = m_now + callerTimeout;
+        m_streams.back().giveUpAt = m_agenda.now + callerTimeout;
         submit(m_streams.size() - 1);
     }
 
     void submit(std::size_t s)
     {
         auto& stream = m_streams[s];
-        auto g = pick(m_gateways.size());
+        auto g = m_agenda.pick(m_gateways.size());
         auto& gateway = m_gateways[g];
         stream.request = "q" + std::to_string(++m_lastRequest);
         stream.isOpen = true;
@@ -273,7 +248,7 @@
         request.host = "desk.example";
         request.path = "/s/x";
         request.callerRequestId = stream.request;
-        request.callerTimeout = stream.giveUpAt - m_now;
+        request.callerTimeout = stream.giveUpAt - m_agenda.now;
         stream.isResuming = stream.lastEvent > 0;
         if (stream.isResuming) {
             request.resumedRequest = stream.firstRequest;
@@ -282,15 +257,15 @@
         }
         gateway.streams[stream.id] = s;
         step(g, forward::Submit { stream.id, request });
-        auto breakAfter = std::exponential_distribution<double>(m_settings.breaksPerSecond)(m_random);
-        after(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(breakAfter)),
+        auto breakAfter = std::exponential_distribution<double>(m_settings.breaksPerSecond)(m_agenda.random);
+        m_agenda.after(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(breakAfter)),
             [this, s, id = stream.id] { breakConnection(s, id); });
     }
 
     void breakConnection(std::size_t s, const RequestId& id)
     {
         auto& stream = m_streams[s];
-        if (!stream.isOpen || stream.id != id || m_now >= m_end)
+        if (!stream.isOpen || stream.id != id || m_agenda.now >= m_end)
             return;
         step(stream.gateway, forward::CallerDisconnected { id });
         m_gateways[stream.gateway].streams.erase(id);
@@ -301,9 +276,9 @@
     void takeUp(std::size_t s)
     {
         m_streams[s].isOpen = false;
-        auto wait = between(5ms, 100ms);
-        if (m_now + wait < m_streams[s].giveUpAt)
-            after(wait, [this, s] { submit(s); });
+        auto wait = m_agenda.between(5ms, 100ms);
+        if (m_agenda.now + wait < m_streams[s].giveUpAt)
+            m_agenda.after(wait, [this, s] { submit(s); });
     }
 
     void close(std::size_t g, const RequestId& id)
@@ -320,11 +295,11 @@
     void step(std::size_t g, const forward::Event& event)
     {
         auto& gateway = m_gateways[g];
-        auto effects = gateway.logic->step(event, m_now);
+        auto effects = gateway.logic->step(event, m_agenda.now);
         auto wake = gateway.logic->nextWake();
         if (wake != Instant::max()) {
-            after(std::max(wake - m_now, Duration(1ms)), [this, g, id = gateway.id, wake] {
-                if (m_gateways[g].id == id && m_gateways[g].logic->nextWake() <= m_now && wake <= m_now)
+            m_agenda.after(std::max(wake - m_agenda.now, Duration(1ms)), [this, g, id = gateway.id, wake] {
+                if (m_gateways[g].id == id && m_gateways[g].logic->nextWake() <= m_agenda.now && wake <= m_agenda.now)
                     step(g, forward::Tick {});
             });
         }
@@ -340,7 +315,7 @@
         m_gateways[g].calls[send.id] = send.attempt;
         m_callees[{ send.id, send.attempt }] = send.replica.id;
         auto it = std::find_if(m_replicas.begin(), m_replicas.end(), [&](const Replica& r) { return r.id == send.replica.id; });
-        after(1ms, [this, g, send, isThere = it != m_replicas.end(), version = versionOf(it)] {
+        m_agenda.after(1ms, [this, g, send, isThere = it != m_replicas.end(), version = versionOf(it)] {
             if (!isCurrent(g, send))
                 return;
             if (!isThere)
@@ -374,7 +349,7 @@
         if (i > eventsOfStream)
             return step(g, forward::AnswerEnd { send.id, send.attempt });
         step(g, forward::AnswerBody { send.id, send.attempt, "id: " + std::to_string(i) + "\ndata: " + version + "\n\n" });
-        after(eventPause, [this, g, send, version, i] { sendEvent(g, send, version, i + 1); });
+        m_agenda.after(eventPause, [this, g, send, version, i] { sendEvent(g, send, version, i + 1); });
     }
 
     void execute(std::size_t g, const forward::CancelCall& cancel) { m_gateways[g].calls.erase(cancel.id); }
@@ -414,7 +389,7 @@
         toHolder(g, send.holder, [this, g, gateway = m_gateways[g].id, message = send.message](std::size_t h) {
             StreamRecordsHeld held;
             for (const auto& record : message.records) {
-                m_holders[h].directory.add(record, m_now);
+                m_holders[h].directory.add(record, m_agenda.now);
                 held.streams.push_back(record.stream);
             }
             toGateway(g, gateway, h, forward::StreamRecordsConfirmed { m_holders[h].id, held });
@@ -423,12 +398,12 @@
     void execute(std::size_t g, const forward::SendStreamLookup& send)
     {
         toHolder(g, send.holder, [this, g, gateway = m_gateways[g].id, stream = send.message.stream](std::size_t h) {
-            toGateway(g, gateway, h, forward::StreamLookupReplied { m_holders[h].id, m_holders[h].directory.find(stream, m_now) });
+            toGateway(g, gateway, h, forward::StreamLookupReplied { m_holders[h].id, m_holders[h].directory.find(stream, m_agenda.now) });
         });
     }
     void toHolder(std::size_t g, PeerId holder, std::function<void(std::size_t)> action)
     {
-        after(between(1ms, 8ms), [this, g, holder, action = std::move(action)] {
+        m_agenda.after(m_agenda.between(1ms, 8ms), [this, g, holder, action = std::move(action)] {
             for (std::size_t h = 0; h < m_holders.size(); ++h) {
                 if (m_holders[h].id == holder && !m_gateways[g].cutFrom.contains(h))
                     action(h);
@@ -437,17 +412,15 @@
     }
     void toGateway(std::size_t g, PeerId gateway, std::size_t h, const forward::Event& event)
     {
-        after(between(1ms, 8ms), [this, g, gateway, h, event] {
+        m_agenda.after(m_agenda.between(1ms, 8ms), [this, g, gateway, h, event] {
             if (m_gateways[g].id == gateway && !m_gateways[g].cutFrom.contains(h))
                 step(g, event);
         });
     }
 
     Settings m_settings;
-    std::mt19937_64 m_random;
-    Instant m_now { std::chrono::seconds(1000) };
+    Agenda m_agenda;
     Instant m_end;
-    std::multimap<Instant, std::function<void()>> m_agenda;
     std::vector<Holder> m_holders;
     std::vector<Replica> m_replicas;
     std::vector<Gateway> m_gateways;
