A gateway that starts is told of content that is suspected, also before its trial

Five crashes at one moment are a suspicion for a second; after that the content counted as unknown until the trial, so that a process which started then would have run any number of requests with it. Test: describeAll names none of the five crashes before.

--- a/src/request/fleet/CrashTracker.cpp
+++ b/src/request/fleet/CrashTracker.cpp
@@ -322,7 +322,8 @@
     auto evaluation = evaluate(it->second);
     if (now < evaluation.convictedUntil)
         return Status::Convicted;
-    return evaluation.counted >= crashesUntilWatched ? Status::Watched : Status::Unknown;
+    bool isWatched = evaluation.counted >= crashesUntilWatched || evaluation.convictedUntil != Instant();
+    return isWatched ? Status::Watched : Status::Unknown;
 }
 
 std::string CrashTracker::text(ContentFingerprint fingerprint) const
--- a/src/request/fleet/CrashTracker.h
+++ b/src/request/fleet/CrashTracker.h
@@ -13,8 +13,8 @@
  *   the next request with the content confirms or clears;
  * - a replica from which something was received after its crash did not crash: its connection was reset, or it aborted one response;
  * - an answer clears its content: a complete one clears the request and its parts, one that has been under way for a while the parts, since
- *   a part crashes replicas when they begin to answer. It also stands for some time after: a part that all prompts of a route have in
- * common is answered all the time, even while replicas crash, and is not accused at all by a gateway that knows of an answer;
+ *   a part crashes replicas when they begin to answer. An answer also clears later crashes for some time: the part that all prompts of
+ *   a route begin with is answered all the time, even while replicas crash, and a gateway that knows of an answer does not accuse it;
  * - crashes are explained by other convicted content that ran at each of these replicas but one. Content whose crashes are explained by
  *   content that a request does not have is no reason to refuse the request. Without this, the first part of all prompts would be refused
  *   together with the one that crashes replicas, where nothing was answered yet.
--- a/test/correctness/CrashingPartTest.cpp
+++ b/test/correctness/CrashingPartTest.cpp
@@ -186,6 +186,8 @@
     REQUIRE(convictions.size() == 1);
     CHECK(convictions[0].until == first + 80ms + CrashTracker::suspicion);
     CHECK(convictions[0].trialAt == "b");
+    // A gateway that starts before the trial has to know of the suspicion.
+    CHECK(tracker.describeAll(Status::Watched, first + 2s).crashes.size() == 5);
     SUBCASE("the trial is answered")
     {
         tracker.noteTrialServed(contentOf({ crashing }), first + 2s);
