A run that had just begun when a rack lost power is no separate crash

Cause: a run counts as begun after the former crash with a tolerance of 50 ms for late messages, so one sent 20 ms before the common loss of power counted beside it.

--- a/test/correctness/CrashingPartTest.cpp
+++ b/test/correctness/CrashingPartTest.cpp
@@ -167,6 +167,11 @@
     for (int i = 0; i < 4; ++i)
         tracker.noteCrash(contentOf({ shared }), run(10 + i), software, 900ms, 0s, first + i * 50ms);
     CHECK(mayRun(tracker, { shared }));
+    // One of them had just been sent its request.
+    tracker.noteCrash(contentOf({ 6 }), run(30), software, 100ms, 0s, first);
+    tracker.noteCrash(contentOf({ 6 }), run(31), software, 300ms, 0s, first + 5s);
+    tracker.noteCrash(contentOf({ 6 }), run(32), software, 20ms, 0s, first + 5s);
+    CHECK(mayRun(tracker, { 6 }));
     // Replicas that fall silent at one moment are noticed one by one.
     for (int i = 0; i < 4; ++i)
         tracker.noteCrash(contentOf({ 7 }), run(20 + i), software, 1500ms + i * 400ms, 0s, first + 2s + i * 400ms);
--- a/test/failure/CrashFleetTest.cpp
+++ b/test/failure/CrashFleetTest.cpp
@@ -121,6 +121,17 @@
     CHECK(100 * refused <= sound);
 }
 
+TEST_CASE("a request that had just been sent to one of the engines of a rack that loses power is no separate crash")
+{
+    // Guards against refusing a document after two losses of power.
+    Settings settings;
+    settings.seed = 2022;
+    settings.crashingPerSecond = 0;
+    settings.soundPerSecond = 40;
+    settings.racks = 0.5;
+    CHECK(CrashFleet(settings).play().soundRefused == 0);
+}
+
 TEST_CASE("where engines crash for other reasons, no sound request is refused for its parts")
 {
     // Guards against refusing sound requests for what they share with others that ran at the same engines.
