--- a/src/request/fleet/CrashTracker.cpp
+++ b/src/request/fleet/CrashTracker.cpp
@@ -261,7 +261,8 @@
 /// later. A rack that loses power crashes all its replicas at once; those that just fall silent are noticed later, one by one.
 bool CrashTracker::isSeparate(const Crash& former, const Crash& crash)
 {
-    bool beganAfter = crash.began + messageDelayTolerance >= former.at && crash.at - former.at >= messageDelayTolerance;
+    bool isLater = crash.at - former.at >= messageDelayTolerance;
+    bool beganAfter = crash.began >= former.at || (isLater && crash.began + messageDelayTolerance >= former.at);
     bool endedByItself = crash.at - former.at >= simultaneity && crash.at - crash.began <= shortRun;
     return beganAfter || endedByItself;
 }
