Retries that the budget did not allow, refused prefills and calls at other replicas are logged and counted

The logs that are collected end long after the window of the incident, and the metrics have one number of sends. With these, the three hypotheses show as: many starts and few refused prefills; refused prefills beyond what is left; a number of gateways in event 217 that is smaller than that of the site.

--- a/src/base/EventCode.cpp
+++ b/src/base/EventCode.cpp
@@ -34,6 +34,7 @@
         EventRow { EventCode::PlaceAsked, "PLACE_ASKED" },
         EventRow { EventCode::RequestCrashesReplicas, "REQUEST_CRASHES_REPLICAS" },
         EventRow { EventCode::StreamOriginFound, "STREAM_ORIGIN_FOUND" },
+        EventRow { EventCode::RetryNotAllowed, "RETRY_NOT_ALLOWED" },
         EventRow { EventCode::IntentRecorded, "INTENT_RECORDED" },
         EventRow { EventCode::AnswerReplayed, "ANSWER_REPLAYED" },
         EventRow { EventCode::AttemptSealed, "ATTEMPT_SEALED" },
--- a/src/base/EventCode.h
+++ b/src/base/EventCode.h
@@ -42,6 +42,7 @@
     PlaceAsked = 214,
     RequestCrashesReplicas = 215,
     StreamOriginFound = 216,
+    RetryNotAllowed = 217,
     IntentRecorded = 220,
     AnswerReplayed = 221,
     AttemptSealed = 222,
--- a/src/process/ForwardPages.cpp
+++ b/src/process/ForwardPages.cpp
@@ -38,6 +38,11 @@
     metrics.setGauge("wrenhinge_rate_limited_replicas", static_cast<double>(logic.limits().size()));
     metrics.setGauge("wrenhinge_rate_limit_refusals_total", static_cast<double>(logic.limits().refusals()));
     metrics.setGauge("wrenhinge_keys_refused_total", static_cast<double>(logic.refusedKeys()));
+    const auto& retries = logic.retryCounts();
+    metrics.setGauge("wrenhinge_retries_total", static_cast<double>(retries.taken));
+    metrics.setGauge("wrenhinge_retries_not_allowed_total", static_cast<double>(retries.notAllowed));
+    metrics.setGauge("wrenhinge_prefills_refused_total", static_cast<double>(retries.refusedPrefills));
+    metrics.setGauge("wrenhinge_calls_at_other_replicas_total", static_cast<double>(retries.otherReplicas));
 }
 
 } // namespace wrenhinge
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -4,6 +4,8 @@
 #include "request/forward/ForwardLogic.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 namespace wrenhinge {
 
@@ -18,6 +20,8 @@
     constexpr Duration minRetryAfter = 40ms;
     constexpr Duration maxRetryAfter = 1s;
 
+    constexpr auto otherReplicaReason = "the call has reached another replica than the one it was for";
+
     bool isSuccess(int status) { return status >= 200 && status < 300; }
 
 } // namespace
@@ -105,7 +109,8 @@
             m_shedder.noteFull(flow->service, now);
         endCall(*flow, metadata.isMisdirected ? CallOutcome::Misdirected : CallOutcome::Refused, now);
         ++flow->refusals;
-        return resendOrFail(*flow, false, "the replica did not run the request", now);
+        m_retryCounts.otherReplicas += metadata.isMisdirected;
+        return resendOrFail(*flow, false, metadata.isMisdirected ? otherReplicaReason : "the replica did not run the request", now);
     }
     if (isSuccess(metadata.status) && !metadata.isGenuine) {
         endCall(*flow, CallOutcome::Failed, now);
@@ -200,12 +205,32 @@
     return flow.runs < flow.route->maxAttempts;
 }
 
+/// Takes a retry from the budget.
+bool ForwardLogic::takeRetry(const Flow& flow, Instant now)
+{
+    bool isTaken = m_budget.take(flow.service, now);
+    if (isTaken)
+        ++m_retryCounts.taken;
+    else
+        recordRetryNotAllowed(flow, now);
+    return isTaken;
+}
+
+void ForwardLogic::recordRetryNotAllowed(const Flow& flow, Instant now)
+{
+    ++m_retryCounts.notAllowed;
+    std::array<char, 32> left {};
+    std::snprintf(left.data(), left.size(), "%.2f", m_budget.remaining(flow.service, now));
+    m_effects.push_back(LogEvent { EventCode::RetryNotAllowed, flow.id,
+        std::string(left.data()) + " retries left for " + flow.service + ", shared by " + std::to_string(m_budget.gateways()) + " gateways" });
+}
+
 /// Sends the request again if its route, the number of sends, the available replicas and the retry budget allow it.
 bool ForwardLogic::resend(Flow& flow, Instant now)
 {
     bool isPossible
         = mayRunAgain(flow) && !crashesReplicas(flow, now) && flow.sends < maxSends && choose(flow, criteriaOf(flow), flow.tried, now);
-    return isPossible && m_budget.take(flow.service, now) && (repeatPrefill(flow, now) || send(flow, now));
+    return isPossible && takeRetry(flow, now) && (repeatPrefill(flow, now) || send(flow, now));
 }
 
 void ForwardLogic::resendOrFail(Flow& flow, bool mayHaveRun, const std::string& reason, Instant now)
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -93,6 +93,14 @@
     [[nodiscard]] ReplicaLimits& limits() { return m_limits; }
     /// Number of requests that were refused because their key is missing or belongs to no account.
     [[nodiscard]] std::uint64_t refusedKeys() const { return m_refusedKeys; }
+    /// Counts since the start.
+    struct RetryCounts {
+        std::uint64_t refusedPrefills = 0;
+        std::uint64_t otherReplicas = 0; ///< Calls that reached another replica than the one they were for.
+        std::uint64_t taken = 0; ///< Calls that were sent again.
+        std::uint64_t notAllowed = 0; ///< Calls that were not sent again, and prefills that were not sent, for lack of budget.
+    };
+    [[nodiscard]] const RetryCounts& retryCounts() const { return m_retryCounts; }
     [[nodiscard]] std::uint64_t documentVersion() const { return m_table ? m_table->version() : 0; }
 
 private:
@@ -218,6 +226,8 @@
     [[nodiscard]] Duration timeSpentBefore(const Flow&) const;
     [[nodiscard]] bool mayOutliveProcess(const Flow&) const;
     void refuseAsDraining(Flow&, Instant);
+    bool takeRetry(const Flow&, Instant);
+    void recordRetryNotAllowed(const Flow&, Instant);
     bool resend(Flow&, Instant);
     bool shedLoad(Flow&, Instant);
     void resendOrFail(Flow&, bool mayHaveRun, const std::string& reason, Instant);
@@ -250,6 +260,7 @@
     Instant m_enginesSelectedAt; ///< Time of the last selection.
     std::map<std::string, Instant> m_sidecarLinks; ///< Engine address -> when to close the connection; `Instant::max()`: engine in use.
     SharedRetryBudget m_budget;
+    RetryCounts m_retryCounts;
     AccountQuotas m_quotas;
     ReplicaLimits m_limits;
     std::set<std::pair<std::uint32_t, RequestId>> m_awaitingPermits; ///< By rank; some may have ended meanwhile.
--- a/src/request/forward/ForwardReplicas.cpp
+++ b/src/request/forward/ForwardReplicas.cpp
@@ -130,7 +130,7 @@
     }
     // A run that has ended doesn't count towards the route's attempts, but the call to it has cost the service work, so another prefill
     // must fit into the retry budget.
-    retryPrefillOrRun(flow, m_budget.take(flow.service, now), now);
+    retryPrefillOrRun(flow, takeRetry(flow, now), now);
 }
 
 // --- Replicas that change their software ------------------------------------------------------------------------
--- a/src/request/forward/ForwardReservations.cpp
+++ b/src/request/forward/ForwardReservations.cpp
@@ -246,6 +246,10 @@
     if (!flow)
         return;
     endCall(*flow, event.isMisdirected ? CallOutcome::Misdirected : CallOutcome::Refused, now);
+    ++m_retryCounts.refusedPrefills;
+    m_retryCounts.otherReplicas += event.isMisdirected;
+    m_effects.push_back(LogEvent { EventCode::RequestRetried, flow->id,
+        toString(flow->replica) + (event.isMisdirected ? " is another replica, asked for a prefill" : " refused the prefill") });
     // A refused prefill is charged to the retry budget; the first one that is accepted is not. Charging the next prefill instead missed
     // the second of two refusals, and also the first one when there was no budget for another.
     if (event.wasNotAccepted)
@@ -270,7 +274,7 @@
 bool ForwardLogic::repeatPrefill(Flow& flow, Instant now)
 {
     bool isNeeded = std::exchange(flow.hasLostKvCache, false) && !flow.hasStreamStarted;
-    return isNeeded && m_budget.take(flow.service, now) && prefill(flow, now);
+    return isNeeded && takeRetry(flow, now) && prefill(flow, now);
 }
 
 // --- Load reports -----------------------------------------------------------------------------------------------
--- a/src/request/forward/ForwardTime.cpp
+++ b/src/request/forward/ForwardTime.cpp
@@ -109,7 +109,7 @@
     bool isOverloaded = flow.stage == Flow::Stage::Running && m_shedder.refusedShare(flow.service) > 0;
     bool mayGoOn = !isOverloaded && flow.isCalling && flow.stage == Flow::Stage::Running && flow.runs + 1 < flow.route->maxAttempts
         && flow.sends < maxSends && !crashesReplicas(flow, now) && choose(flow, criteriaOf(flow), flow.tried, now);
-    if (!mayGoOn || !m_budget.take(flow.service, now)) {
+    if (!mayGoOn || !takeRetry(flow, now)) {
         flow.nextCheckAt = flow.deadline;
         m_wakes.insert({ flow.nextCheckAt, flow.id });
         return;
