Failing tests: gateways exceed the retry budget together

Starts in a series, callers that move, a number of gateways that falls while gateways start again or are cut off, and prefills in progress when their replicas have gone.

--- /dev/null
+++ b/test/failure/RetryBudgetTest.cpp
@@ -0,0 +1,89 @@
+/** \file
+ * The retries that all gateways together send stay within the service's budget, whatever is restarted, cut off or gone.
+ */
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "ForwardBench.h"
+#include "RetryFleet.h"
+
+using namespace wrenhinge;
+using wrenhinge::retries::Fleet;
+
+namespace {
+
+constexpr RetryBudgetSettings settings { 0.2, 250, 10s };
+
+} // namespace
+
+TEST_CASE("gateways that start again one after the other don't exceed the retry budget together")
+{
+    for (std::size_t gateways : { 9, 46, 66 }) {
+        for (double load : { 30.0, 290.0 }) {
+            for (int starts : { 1, 3, 5 }) {
+                CAPTURE(gateways);
+                CAPTURE(load);
+                CAPTURE(starts);
+                Fleet fleet(gateways, settings, 1);
+                fleet.load = load;
+                fleet.run(20s);
+                for (int i = 0; i < starts; ++i) {
+                    fleet.restartAll();
+                    fleet.run(2500ms);
+                }
+                fleet.run(20s);
+                CHECK(fleet.worst() <= 1);
+            }
+        }
+    }
+}
+
+TEST_CASE("callers that move from gateways which have retried to others don't raise the retry budget")
+{
+    Fleet fleet(40, settings, 1);
+    fleet.load = 2000;
+    fleet.spread(1);
+    for (int i = 0; i < 6; ++i) {
+        fleet.wantsRetries = false;
+        fleet.run(8s);
+        fleet.wantsRetries = true;
+        fleet.run(200ms);
+        fleet.spread(8);
+    }
+    CHECK(fleet.worst() <= 1);
+}
+
+TEST_CASE("gateways without failures may use most of the slack of the retry budget")
+{
+    Fleet fleet(10, settings, 1);
+    fleet.load = 1;
+    fleet.run(60s);
+    CHECK(fleet.worst() >= 0.75);
+    CHECK(fleet.worst() <= 1);
+}
+
+TEST_CASE("prefills in progress at replicas that have gone stay within the retry budget")
+{
+    using namespace wrenhinge::bench;
+    Bench bench;
+    bench.serve().replica("d", UpstreamKind::Decode);
+    for (int i = 0; i < 200; ++i)
+        bench.replica("p-" + std::to_string(i), UpstreamKind::Prefill);
+    constexpr int requests = 100;
+    std::vector<Send> prefills;
+    auto recordPrefills = [&] {
+        for (const auto& send : bench.effects<Send>()) {
+            if (send.isPrefill)
+                prefills.push_back(send);
+        }
+    };
+    for (int i = 0; i < requests; ++i) {
+        bench.submit("/stream/x");
+        bench.post(ReservationGranted { bench.only<ReserveAtReplica>().id, bench.only<ReserveAtReplica>().attempt, "reservation-1" });
+        recordPrefills();
+    }
+    for (std::size_t i = 0; i < prefills.size(); ++i) {
+        bench.post(PrefillFailed { prefills[i].id, prefills[i].attempt, true, true });
+        recordPrefills();
+    }
+    CHECK(!prefills.empty());
+    CHECK(static_cast<double>(prefills.size()) <= 0.2 * requests + 60);
+}
