The retry budget holds however often gateways start, and wherever callers go

Callers saw more retries at a service than the limit allows, at a moment when it can least handle them. Cause: a start handed out 0.4 of the share of the slack anew, since a process does not know what the one before it sent; and each gateway counted the requests of its own last window, so that callers which moved were counted at two gateways.

Now the sum of what is given out, used or not, is bounded: each request pays for half of the ratio, once, so that the requests of two windows pay for the retries of one; a process that is younger than a window uses only what its age is worth. docs/design/retry-budget.md.

ForwardBench's gateway has run for a window now, as a young one may hardly retry.

--- a/src/request/fleet/AccountQuota.h
+++ b/src/request/fleet/AccountQuota.h
@@ -15,7 +15,7 @@
 
 #include "message/Messages.h"
 #include "request/fleet/DecayingRate.h"
-#include "request/fleet/SharedRetryBudget.h"
+#include "request/fleet/GatewayCount.h"
 #include "version/RoutingDocument.h"
 
 namespace wrenhinge {
@@ -150,7 +150,7 @@
 
     QuotaRule m_rule;
     QuotaSettings m_settings;
-    std::uint32_t m_gateways = SharedRetryBudget::assumedGateways;
+    std::uint32_t m_gateways = GatewayCount::assumed;
     bool m_hasContact = false;
     bool m_isNew = true; ///< No total has arrived since contact began; until then this gateway might admit what others have used already.
     double m_level = 0;
--- a/src/request/fleet/AccountQuotas.cpp
+++ b/src/request/fleet/AccountQuotas.cpp
@@ -136,7 +136,7 @@
 GatewayCounts AccountQuotas::knownGateways(Instant now) const
 {
     auto seen = now - m_knownGatewaysAt <= knownGatewaysLifetime ? m_knownGateways : GatewayCounts();
-    if (m_gateways != SharedRetryBudget::assumedGateways)
+    if (m_gateways != GatewayCount::assumed)
         seen.all = std::max(seen.all, m_gateways);
     return seen;
 }
--- a/src/request/fleet/AccountQuotas.h
+++ b/src/request/fleet/AccountQuotas.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "request/fleet/AccountQuota.h"
-#include "request/fleet/SharedRetryBudget.h"
+#include "request/fleet/GatewayCount.h"
 
 #include <map>
 #include <optional>
@@ -69,7 +69,7 @@
 
     QuotaSettings m_settings;
     std::string m_gateway;
-    std::uint32_t m_gateways = SharedRetryBudget::assumedGateways;
+    std::uint32_t m_gateways = GatewayCount::assumed;
     std::map<std::string, AccountQuota> m_accounts;
     std::unordered_map<AccountId, std::string> m_names;
     /// Accounts that may be active. Reports are made many times a second, so their cost must not grow with the number of all accounts.
--- a/src/request/fleet/PermitClient.h
+++ b/src/request/fleet/PermitClient.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "request/fleet/PermitBucket.h"
-#include "request/fleet/SharedRetryBudget.h"
+#include "request/fleet/GatewayCount.h"
 
 #include <map>
 #include <optional>
@@ -69,7 +69,7 @@
     [[nodiscard]] bool mayLend(Instant now) const;
 
     std::map<LimitId, PermitBucket> m_buckets;
-    std::uint32_t m_gateways = SharedRetryBudget::assumedGateways;
+    std::uint32_t m_gateways = GatewayCount::assumed;
     std::map<PeerId, Instant> m_lastHeardAt; ///< By controller.
     std::map<PeerId, Instant> m_avoidedUntil; ///< Controllers that have not answered.
     std::optional<PeerId> m_controller; ///< It issues this gateway's permits.
--- a/src/request/fleet/SharedRetryBudget.cpp
+++ b/src/request/fleet/SharedRetryBudget.cpp
@@ -1,59 +1,119 @@
 #include "request/fleet/SharedRetryBudget.h"
 
+#include <algorithm>
+
 namespace wrenhinge {
 
-SharedRetryBudget::Window& SharedRetryBudget::currentWindow(const std::string& service, Instant now)
+void SharedRetryBudget::dropBefore(std::deque<Amount>& list, double& sum, Instant oldest)
 {
-    auto& window = m_windows[service];
-    for (auto* list : { &window.requests, &window.resends }) {
-        while (!list->empty() && now - list->front() > m_settings.window)
-            list->pop_front();
+    while (!list.empty() && list.front().at < oldest) {
+        sum -= list.front().amount;
+        list.pop_front();
     }
-    return window;
+    if (list.empty())
+        sum = 0;
 }
 
-void SharedRetryBudget::setGateways(std::uint32_t n, Instant now)
+SharedRetryBudget::Account& SharedRetryBudget::currentAccount(const std::string& service, Instant now)
 {
-    bool isLarger = n >= m_gateways || !m_gatewaysUpdatedAt;
-    if (!n || (!isLarger && now - *m_gatewaysUpdatedAt <= m_settings.window))
-        return;
-    m_gateways = n;
-    m_gatewaysUpdatedAt = now;
+    auto& account = m_accounts[service];
+    dropBefore(account.paid, account.paidSum, now - (m_settings.window - arrivalDelay()));
+    dropBefore(account.usedSlack, account.usedSlackSum, now - (m_settings.window + arrivalDelay()));
+    return account;
 }
 
-double SharedRetryBudget::allowance(const Window& window, Instant now) const
+void SharedRetryBudget::setGateways(std::uint32_t n, Instant now)
 {
-    bool hasJustStarted = !m_startedAt || now - *m_startedAt <= m_settings.window;
-    return (hasJustStarted ? usableFractionAfterStart : usableFraction)
-        * (m_settings.ratio * static_cast<double>(window.requests.size()) + m_settings.slack / m_gateways);
+    if (!m_startedAt)
+        m_startedAt = now;
+    m_gateways.report(n, now);
 }
 
 void SharedRetryBudget::countRequest(const std::string& service, Instant now)
 {
     if (!m_startedAt)
         m_startedAt = now;
-    currentWindow(service, now).requests.push_back(now);
+    auto& account = currentAccount(service, now);
+    auto amount = requestFraction * m_settings.ratio;
+    account.paid.push_back({ now, amount });
+    account.paidSum += amount;
 }
 
-bool SharedRetryBudget::take(const std::string& service, Instant now)
+double SharedRetryBudget::slackLeft(const Account& account, Instant now) const
 {
-    auto& window = currentWindow(service, now);
-    if (static_cast<double>(window.resends.size()) + 1 > allowance(window, now))
-        return false;
-    window.resends.push_back(now);
-    return true;
+    auto age = m_startedAt ? now - *m_startedAt : Duration::zero();
+    bool isYoung = age < m_settings.window + arrivalDelay();
+    if (!isYoung)
+        return slackFraction * m_settings.slack / m_gateways.value() - account.usedSlackSum;
+    auto earned = slackFractionAfterStart * toSeconds(age) / toSeconds(m_settings.window);
+    return earned * m_settings.slack / std::max(m_gateways.value(), GatewayCount::assumed) - account.usedSlackSum;
 }
 
 double SharedRetryBudget::remaining(const std::string& service, Instant now)
 {
-    auto& window = currentWindow(service, now);
-    return allowance(window, now) - static_cast<double>(window.resends.size());
+    auto& account = currentAccount(service, now);
+    return account.paidSum + std::max(0.0, slackLeft(account, now));
+}
+
+/// Takes up to one retry from what requests have paid, the oldest first.
+void SharedRetryBudget::takePaid(Account& account, RetryCharge& charge)
+{
+    if (account.paid.empty())
+        return;
+    charge.requestsAt = account.paid.front().at;
+    while (!account.paid.empty() && charge.fromRequests < 1) {
+        auto& oldest = account.paid.front();
+        auto part = std::min(oldest.amount, 1 - charge.fromRequests);
+        charge.fromRequests += part;
+        oldest.amount -= part;
+        account.paidSum -= part;
+        if (oldest.amount <= 0)
+            account.paid.pop_front();
+    }
+}
+
+std::optional<RetryCharge> SharedRetryBudget::take(const std::string& service, Instant now, double kept)
+{
+    if (remaining(service, now) < 1 + kept)
+        return std::nullopt;
+    auto& account = currentAccount(service, now);
+    RetryCharge charge;
+    takePaid(account, charge);
+    charge.fromSlack = 1 - charge.fromRequests;
+    if (charge.fromSlack > 0) {
+        charge.slackAt = now;
+        account.usedSlack.push_back({ now, charge.fromSlack });
+        account.usedSlackSum += charge.fromSlack;
+    }
+    return charge;
+}
+
+void SharedRetryBudget::charge(const std::string& service, Instant now)
+{
+    auto& account = currentAccount(service, now);
+    account.usedSlack.push_back({ now, 1 });
+    account.usedSlackSum += 1;
+}
+
+void SharedRetryBudget::putBack(const std::string& service, const RetryCharge& charge, Instant now)
+{
+    auto& account = currentAccount(service, now);
+    if (charge.fromRequests > 0) {
+        account.paid.push_front({ charge.requestsAt, charge.fromRequests });
+        account.paidSum += charge.fromRequests;
+    }
+    auto isThisOne = [&charge](const Amount& used) { return used.at == charge.slackAt && used.amount == charge.fromSlack; };
+    if (auto it = std::find_if(account.usedSlack.begin(), account.usedSlack.end(), isThisOne);
+        charge.fromSlack > 0 && it != account.usedSlack.end()) {
+        account.usedSlackSum -= it->amount;
+        account.usedSlack.erase(it);
+    }
 }
 
 std::map<std::string, double> SharedRetryBudget::remainingByService(Instant now)
 {
     std::map<std::string, double> all;
-    for (const auto& [service, window] : m_windows)
+    for (const auto& [service, account] : m_accounts)
         all[service] = remaining(service, now);
     return all;
 }
--- a/src/request/fleet/SharedRetryBudget.h
+++ b/src/request/fleet/SharedRetryBudget.h
@@ -1,16 +1,23 @@
 /** \file
  * Limits the retries that all gateways together send, by service.
  *
- * During an overload every retry adds to the load. The site's limit holds for all gateways together in any window. A gateway knows only its
- * own requests, so it may use the ratio of its own requests and its share of the fixed slack. Only four fifths of both are used, since
- * gateways start and stop while the others still compute with the former number.
+ * During an overload every retry adds to the load. The site's limit holds for all gateways together in any window: a ratio of the service's
+ * requests plus a fixed slack. A gateway knows only its own requests, and a process that has just started doesn't know what the one before
+ * it sent. The limit holds all the same, whatever the demand, wherever callers go and however often processes start:
  *
- * Example: ratio 0.2, slack 60, window 10 s, 8 gateways: one that forwarded 100 requests in the last 10 s may send
- * 0.8 * (0.2 * 100 + 60 / 8) = 22 retries.
+ * - Each request pays for half of `ratio` retries, once, for less than a window. The retries of a window are so paid by the requests of
+ *   that window and the one before, which are at most twice the requests of the larger one.
+ * - Of its share of the slack, a process uses four fifths in any window. Until it is older than a window, it uses only what its time since
+ *   the start is worth, at less than a fifth in a window. However often a gateway starts again, its processes use no more than its share.
+ *
+ * A retry is taken from the budget before it is sent.
+ *
+ * Example: ratio 0.2, slack 60, window 10 s, 8 gateways: one that forwarded 100 requests in the last 9 s may send
+ * 0.1 * 100 + 0.8 * 60 / 8 = 16 retries.
  */
 #pragma once
 
-#include "base/Time.h"
+#include "request/fleet/GatewayCount.h"
 
 #include <cstdint>
 #include <deque>
@@ -26,51 +33,66 @@
     Duration window = 10s;
 };
 
+/// What one call has taken from the budget.
+struct RetryCharge {
+    double fromRequests = 0;
+    Instant requestsAt; ///< When the oldest of the requests that paid for it was counted.
+    double fromSlack = 0;
+    Instant slackAt; ///< When it was taken from the slack.
+};
+
 class SharedRetryBudget {
 public:
-    /// The number of gateways assumed until a controller reports it: about as many as the largest sites have. With a smaller number, the
-    /// gateways of a site that restarts after a power loss would together exceed the limit, and retries would come when replicas can least
-    /// handle them.
-    static constexpr std::uint32_t assumedGateways = 100;
-
     explicit SharedRetryBudget(RetryBudgetSettings settings = {})
         : m_settings(settings)
+        , m_gateways(settings.window)
     {
     }
 
     void countRequest(const std::string& service, Instant now);
-    /// Takes one retry from the budget. \returns false if the budget is used up.
-    bool take(const std::string& service, Instant now);
+    /// Takes one retry from the budget. \param kept how many must be left afterwards. \returns nothing if the budget doesn't allow it.
+    std::optional<RetryCharge> take(const std::string& service, Instant now, double kept = 0);
     /// Counts a send that turned out to be a retry when its response arrived. The budget may become negative, and then allows no others.
-    void charge(const std::string& service, Instant now) { currentWindow(service, now).resends.push_back(now); }
-    /// The number of retries that remain in this window; negative after more were charged.
+    void charge(const std::string& service, Instant now);
+    /// Puts back what was taken for a call that turned out not to be a retry.
+    void putBack(const std::string& service, const RetryCharge&, Instant now);
+    /// The number of retries that remain now.
     [[nodiscard]] double remaining(const std::string& service, Instant now);
     [[nodiscard]] std::map<std::string, double> remainingByService(Instant now);
-    /// Sets the number of gateways that a controller reports. A smaller number is used only once no larger one was reported for a window:
-    /// gateways that have ended have used their share of the window, and a controller that has just started counts only the gateways that
-    /// have connected so far.
+    /// Sets the number of gateways that share the limit, as a controller reports it.
     void setGateways(std::uint32_t n, Instant now);
     /// The number of gateways that share the limit.
-    [[nodiscard]] std::uint32_t gateways() const { return m_gateways; }
+    [[nodiscard]] std::uint32_t gateways() const { return m_gateways.value(); }
 
 private:
-    static constexpr double usableFraction = 0.8;
-    /// The fraction that a gateway uses in the first window after its start, since it does not know what its former run sent in that
-    /// window. Otherwise, if all gateways restarted at the same time, both runs together would exceed the limit.
-    static constexpr double usableFractionAfterStart = 0.4;
+    /// A request that two windows of the limit contain pays in only one of them.
+    static constexpr double requestFraction = 0.5;
+    static constexpr double slackFraction = 0.8;
+    /// The fraction of the slack that a process earns in a window after its start.
+    static constexpr double slackFractionAfterStart = 0.18;
+    /// A retry may arrive later than it was taken, and a request be counted later than its caller sent it, by a window divided by this.
+    static constexpr int arrivalDelayDivisor = 10;
 
-    struct Window {
-        std::deque<Instant> requests;
-        std::deque<Instant> resends;
+    struct Amount {
+        Instant at;
+        double amount = 0;
+    };
+    struct Account {
+        std::deque<Amount> paid; ///< By requests, not yet used; oldest first.
+        double paidSum = 0;
+        std::deque<Amount> usedSlack; ///< Oldest first.
+        double usedSlackSum = 0;
     };
-    Window& currentWindow(const std::string& service, Instant now);
-    [[nodiscard]] double allowance(const Window&, Instant now) const;
+    Account& currentAccount(const std::string& service, Instant now);
+    [[nodiscard]] Duration arrivalDelay() const { return m_settings.window / arrivalDelayDivisor; }
+    static void dropBefore(std::deque<Amount>&, double& sum, Instant);
+    [[nodiscard]] double slackLeft(const Account&, Instant now) const;
+    static void takePaid(Account&, RetryCharge&);
 
     RetryBudgetSettings m_settings;
-    std::uint32_t m_gateways = assumedGateways;
-    std::optional<Instant> m_startedAt; ///< When the first request was counted.
-    std::optional<Instant> m_gatewaysUpdatedAt; ///< When `m_gateways` or a larger number was last reported.
-    std::map<std::string, Window> m_windows;
+    GatewayCount m_gateways;
+    std::optional<Instant> m_startedAt; ///< When this process first heard of a request or a controller.
+    std::map<std::string, Account> m_accounts;
 };
 
 } // namespace wrenhinge
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -208,7 +208,7 @@
 /// Takes a retry from the budget.
 bool ForwardLogic::takeRetry(const Flow& flow, Instant now)
 {
-    bool isTaken = m_budget.take(flow.service, now);
+    bool isTaken = m_budget.take(flow.service, now).has_value();
     if (isTaken)
         ++m_retryCounts.taken;
     else
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -346,8 +346,7 @@
     both.services[0].isEngine = true;
     both.services[0].engine = { 64, 60000, 0s, 500ms, 0s };
     bench.post(DocumentReceived { both, true });
-    bench.post(RegistryHeartbeat { {}, 1 });
-    bench.replica("r1");
+    bench.age().replica("r1");
     RequestId id { PeerId(1), 77 };
     RequestMetadata request;
     request.host = "desk.example";
@@ -396,6 +395,7 @@
 {
     Bench bench;
     bench.serve().replica("d", UpstreamKind::Decode);
+    auto submittedAt = bench.now;
     bench.submit("/stream/x");
     for (int i = 0; i < 30 && bench.effects<Refuse>().empty(); ++i) {
         for (const auto& reserve : bench.effects<ReserveAtReplica>())
@@ -407,7 +407,7 @@
     CHECK(httpStatusOf(refuse.error.code) == 503);
     REQUIRE(refuse.error.retryAfter);
     CHECK(*refuse.error.retryAfter >= 1s);
-    CHECK(bench.now - start < 900ms);
+    CHECK(bench.now - submittedAt < 900ms);
     CHECK(bench.logic().requests() == 0);
 }
 
@@ -513,8 +513,8 @@
     bench.post(CallFailed { send.id, send.attempt, false, "refused" });
     CHECK(bench.only<Refuse>().error.code == ResultCode::NoUpstream);
     CHECK(bench.only<Refuse>().error.retryAfter);
-    // The whole budget of a gateway in its first window: 0.4 of the slack of 60 plus 0.2 for the one request.
-    CHECK(bench.logic().retryBudget(bench.now).at("plain") > 24);
+    // The whole budget: 0.8 of the slack of 60, plus 0.1 for the one request.
+    CHECK(bench.logic().retryBudget(bench.now).at("plain") > 48);
 }
 
 TEST_CASE("a replica never gets more calls than this gateway's share of its connections")
--- a/test/support/ForwardBench.h
+++ b/test/support/ForwardBench.h
@@ -54,9 +54,16 @@
     {
     }
 
+    /// A gateway that has run for a while, so that it may use the whole retry budget.
     Bench& serve()
     {
         post(DocumentReceived { document(1), true });
+        return age();
+    }
+    Bench& age()
+    {
+        post(RegistryHeartbeat { {}, 1 });
+        now += 11s;
         post(RegistryHeartbeat { {}, 1 });
         return *this;
     }
