A prefill is charged to the retry budget before it is sent

Callers saw more calls at a service than its budget allows when many replicas had gone at once. Cause: a refused prefill counts as a retry and was charged when its refusal arrived, so all that were in progress went beyond. Evidence: 132 refused prefills where 80 are allowed, at replicas from which was heard lately. Now each one takes a retry when it is sent and puts it back when it is accepted, as the first accepted one is no retry; one whose fate is not known stays taken. So nothing that is in progress is outside the sum.

The last retry of a gateway is left for prefills at replicas from which was heard lately; otherwise decode replicas would read all prompts once the budget is used up.

--- a/src/request/fleet/SharedRetryBudget.cpp
+++ b/src/request/fleet/SharedRetryBudget.cpp
@@ -88,13 +88,6 @@
     return charge;
 }
 
-void SharedRetryBudget::charge(const std::string& service, Instant now)
-{
-    auto& account = currentAccount(service, now);
-    account.usedSlack.push_back({ now, 1 });
-    account.usedSlackSum += 1;
-}
-
 void SharedRetryBudget::putBack(const std::string& service, const RetryCharge& charge, Instant now)
 {
     auto& account = currentAccount(service, now);
--- a/src/request/fleet/SharedRetryBudget.h
+++ b/src/request/fleet/SharedRetryBudget.h
@@ -52,8 +52,6 @@
     void countRequest(const std::string& service, Instant now);
     /// Takes one retry from the budget. \param kept how many must be left afterwards. \returns nothing if the budget doesn't allow it.
     std::optional<RetryCharge> take(const std::string& service, Instant now, double kept = 0);
-    /// Counts a send that turned out to be a retry when its response arrived. The budget may become negative, and then allows no others.
-    void charge(const std::string& service, Instant now);
     /// Puts back what was taken for a call that turned out not to be a retry.
     void putBack(const std::string& service, const RetryCharge&, Instant now);
     /// The number of retries that remain now.
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -167,8 +167,11 @@
     endCall(*flow, event.mayHaveRun ? CallOutcome::Failed : CallOutcome::Unreachable, now);
     if (event.mayHaveRun)
         noteCrash(*flow, now);
-    if (flow->stage == Flow::Stage::Prefilling)
+    if (flow->stage == Flow::Stage::Prefilling) {
+        if (!event.mayHaveRun)
+            refundPrefill(*flow, now);
         return retryPrefillOrRun(*flow, !event.mayHaveRun, now);
+    }
     if (!event.mayHaveRun)
         restoreKvSource(*flow);
     resendOrFail(*flow, event.mayHaveRun, event.reason, now);
@@ -205,10 +208,10 @@
     return flow.runs < flow.route->maxAttempts;
 }
 
-/// Takes a retry from the budget.
+/// Takes a retry from the budget. The last one is left for the prefills of others, which are only charged if they are refused.
 bool ForwardLogic::takeRetry(const Flow& flow, Instant now)
 {
-    bool isTaken = m_budget.take(flow.service, now).has_value();
+    bool isTaken = m_budget.take(flow.service, now, engineRule(flow) ? retriesKeptForPrefills : 0).has_value();
     if (isTaken)
         ++m_retryCounts.taken;
     else
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -74,6 +74,8 @@
     /// Shortest Retry-After for requests that are refused because no decode replica has capacity, before it is capped to a third of the
     /// caller's remaining time.
     static constexpr Duration minOverloadRetryAfter = 2500ms;
+    /// So many retries are left for the first prefills of other requests. Each one takes a retry until it is accepted.
+    static constexpr double retriesKeptForPrefills = 1;
     /// Maximum number of sends of one request, including those that a replica did not run.
     static constexpr std::uint32_t maxSends = 4;
 
@@ -202,6 +204,7 @@
     bool prefill(Flow&, Instant);
     void retryPrefillOrRun(Flow&, bool mayRetry, Instant);
     bool repeatPrefill(Flow&, Instant);
+    void refundPrefill(Flow&, Instant);
     void restoreKvSource(Flow&);
     // Requests that crash replicas (ForwardCrashes.cpp).
     void noteCrash(const Flow&, Instant);
