Gateways that are cut off or about to start again keep their part of the retry budget

Cause: controllers report how many gateways are connected now. While gateways start again in a series, or are cut off, that number is too small, a process that has just started takes the first one it hears, and the others share the slack among fewer than use it.

Controllers report the largest number of the last 60 s besides, and the budget goes by that.

--- a/src/message/RegistryMessages.h
+++ b/src/message/RegistryMessages.h
@@ -55,7 +55,9 @@
     std::vector<std::uint64_t> startOffsets {}; ///< Milliseconds from `earliestStart` to each run's start, in the order of `ages`.
     std::uint64_t digest = 0; ///< Of all replicas in the sender's registry; zero from releases without this field.
     std::uint32_t known = 0; ///< The number of replicas in the sender's registry.
-    MSGPACK_DEFINE(ages, gateways, earliestStart, startOffsets, digest, known)
+    /// The largest number of gateways lately, with those that may be cut off or about to start again; zero: not known.
+    std::uint32_t recentGateways = 0;
+    MSGPACK_DEFINE(ages, gateways, earliestStart, startOffsets, digest, known, recentGateways)
 };
 
 /// The load that one gateway put on a service's engines, in number of busy replicas of each stage, on average since its last report.
--- a/src/process/Registrar.cpp
+++ b/src/process/Registrar.cpp
@@ -182,6 +182,7 @@
     auto scope = role == Role::Gateway ? ReplicaRegistry::HeartbeatScope::Stale : ReplicaRegistry::HeartbeatScope::All;
     auto message = m_registry.heartbeat(scope, currentInstant());
     message.gateways = gateways;
+    message.recentGateways = gateways ? m_recentGateways.value() : 0;
     return message;
 }
 
@@ -193,6 +194,7 @@
     auto isGateway = [](const Hello& peer) { return peer.role == Role::Gateway; };
     bool isCounting = currentInstant() >= m_countsGatewaysFrom;
     auto gateways = isCounting ? static_cast<std::uint32_t>(std::count_if(peers.begin(), peers.end(), isGateway)) : 0;
+    m_recentGateways.report(gateways, currentInstant());
     auto forGateways = heartbeatFor(Role::Gateway, gateways);
     auto forControllers = heartbeatFor(Role::Controller, gateways);
     for (const auto& peer : peers) {
--- a/src/process/Registrar.h
+++ b/src/process/Registrar.h
@@ -13,6 +13,7 @@
 
 #include "connection/PeerHub.h"
 #include "process/EventLog.h"
+#include "request/fleet/GatewayCount.h"
 #include "request/fleet/RegistryFollower.h"
 #include "request/fleet/ReplicaRegistry.h"
 
@@ -77,6 +78,7 @@
     boost::asio::steady_timer m_queryTimer;
     Duration m_gatewayCountDelay;
     Instant m_countsGatewaysFrom; ///< Set by `start`.
+    GatewayCount m_recentGateways { GatewayCount::controllerMemory };
     ReplicaRegistry m_registry;
     RegistryFollower m_follower;
     std::map<std::string, std::uint64_t> m_notified; ///< The change counts at the last call of `onChange`, by id.
--- a/src/request/fleet/GatewayCount.h
+++ b/src/request/fleet/GatewayCount.h
@@ -18,6 +18,10 @@
     /// restarts after a power loss would together exceed the limits, when replicas can least handle it.
     static constexpr std::uint32_t assumed = 100;
 
+    /// The memory of a controller for those that share a budget: a gateway that is cut off still uses its share, and one that starts again
+    /// is connected only seconds later. Cuts between regions last minutes, but one that is longer is rare.
+    static constexpr Duration controllerMemory = 60s;
+
     /// \param memory for how long a larger number counts.
     explicit GatewayCount(Duration memory)
         : m_memory(memory)
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -52,6 +52,7 @@
 ForwardLogic::ForwardLogic(Settings settings)
     : m_settings(std::move(settings))
     , m_replicas(m_settings.zone, m_settings.seed, m_settings.name)
+    , m_gateways(gatewayMemory)
     , m_budget(m_settings.budget)
     , m_quotas(m_settings.quotas, m_settings.name)
     , m_limits(m_settings.seed)
@@ -302,7 +303,7 @@
 {
     if (!rule || !rule->maxConnections)
         return 0;
-    return std::max(1u, static_cast<std::uint32_t>(usableConnectionShare * rule->maxConnections / m_budget.gateways()));
+    return std::max(1u, static_cast<std::uint32_t>(usableConnectionShare * rule->maxConnections / m_gateways.value()));
 }
 
 bool ForwardLogic::send(Flow& flow, Instant now)
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -22,6 +22,7 @@
 #include "request/engine/EngineLoad.h"
 #include "request/fleet/ConvictionTrials.h"
 #include "request/fleet/CrashTracker.h"
+#include "request/fleet/GatewayCount.h"
 #include "request/fleet/RegistryFollower.h"
 #include "request/fleet/ReplicaLimits.h"
 #include "request/fleet/SharedRetryBudget.h"
@@ -74,6 +75,8 @@
     /// Shortest Retry-After for requests that are refused because no decode replica has capacity, before it is capped to a third of the
     /// caller's remaining time.
     static constexpr Duration minOverloadRetryAfter = 2500ms;
+    /// For how long gateways that have ended may still have calls in progress.
+    static constexpr Duration gatewayMemory = 10s;
     /// So many retries are left for the first prefills of other requests. Each one takes a retry until it is accepted.
     static constexpr double retriesKeptForPrefills = 1;
     /// Maximum number of sends of one request, including those that a replica did not run.
@@ -262,6 +265,7 @@
     RegistryFollower m_registryFollower;
     Instant m_enginesSelectedAt; ///< Time of the last selection.
     std::map<std::string, Instant> m_sidecarLinks; ///< Engine address -> when to close the connection; `Instant::max()`: engine in use.
+    GatewayCount m_gateways; ///< That share the connections of replicas, the quotas of accounts and the limits that replicas state.
     SharedRetryBudget m_budget;
     RetryCounts m_retryCounts;
     AccountQuotas m_quotas;
--- a/src/request/forward/ForwardReplicas.cpp
+++ b/src/request/forward/ForwardReplicas.cpp
@@ -3,6 +3,8 @@
  */
 #include "request/forward/ForwardLogic.h"
 
+#include <algorithm>
+
 namespace wrenhinge {
 
 using namespace forward;
@@ -61,9 +63,10 @@
 void ForwardLogic::on(const RegistryHeartbeat& event, Instant now)
 {
     m_replicas.noteControllerContact(now);
-    m_budget.setGateways(event.gateways, now);
-    m_quotas.setGateways(m_budget.gateways());
-    m_limits.permits().setGateways(m_budget.gateways(), now);
+    m_gateways.report(event.gateways, now);
+    m_budget.setGateways(std::max(event.gateways, event.recentGateways), now);
+    m_quotas.setGateways(m_gateways.value());
+    m_limits.permits().setGateways(m_gateways.value(), now);
     m_replicas.registry().renew(event, now);
     m_replicas.registry().removeExpired(now);
     m_replicas.forgetEnded();
