Of two replicas at one address only the one that was heard from last is called

Callers' requests were sent to replicas that had ended, whose addresses others had got: these answer 421, each such call counts as a retry, and every gateway pays for every address on its own. The registry keeps both entries, as an announcement may be late, and the one that has ended stays until it is silent or its gateway has got a 421 from it. Now the one that was heard from last is taken to be there; if the newer announcement was the late one, the other is back with its next one.

The test fails on the code before (the former replica is chosen as often as the next).

--- a/src/request/fleet/ReplicaRegistry.cpp
+++ b/src/request/fleet/ReplicaRegistry.cpp
@@ -41,7 +41,7 @@
             m_withdrawn.insert_or_assign(run.id, EndedRun { known->start, now });
         invalidateDigest();
         // Replaces the entry, since neither a stage change nor a renewal of the former run applies to the new one.
-        m_entries.insert_or_assign(run.id, Entry { announcement, now - age, {}, {} });
+        insert({ announcement, now - age, {}, {} });
         return known ? Change::Restarted : Change::Changed;
     }
     auto& entry = m_entries.at(run.id);
@@ -49,6 +49,10 @@
     if (announcement.sequence <= entry.announcement.sequence)
         return Change::None;
     bool isSame = hasSameState(entry.announcement, announcement);
+    if (entry.announcement.address != announcement.address) {
+        removeFromAddress(entry.announcement);
+        m_idsAt[announcement.address].push_back(announcement.id);
+    }
     entry.announcement = announcement;
     if (entry.pendingStage == announcement.kind) {
         entry.pendingStage.reset();
@@ -65,11 +69,40 @@
         return false;
     m_withdrawn.insert_or_assign(run.id, EndedRun { run.start, now });
     if (auto it = m_entries.find(run.id); it != m_entries.end() && hasEnded(it->second.announcement.run()))
-        m_entries.erase(it);
+        erase(it);
     invalidateDigest();
     return true;
 }
 
+void ReplicaRegistry::insert(Entry entry)
+{
+    auto id = entry.announcement.id;
+    if (auto it = m_entries.find(id); it != m_entries.end())
+        erase(it);
+    m_idsAt[entry.announcement.address].push_back(id);
+    m_entries.emplace(std::move(id), std::move(entry));
+}
+
+void ReplicaRegistry::erase(std::map<std::string, Entry>::iterator it)
+{
+    removeFromAddress(it->second.announcement);
+    m_entries.erase(it);
+}
+
+void ReplicaRegistry::removeFromAddress(const Announcement& announcement)
+{
+    auto it = m_idsAt.find(announcement.address);
+    std::erase(it->second, announcement.id);
+    if (it->second.empty())
+        m_idsAt.erase(it);
+}
+
+bool ReplicaRegistry::isDisplaced(const Entry& entry) const
+{
+    const auto& ids = m_idsAt.at(entry.announcement.address);
+    return std::any_of(ids.begin(), ids.end(), [&](const std::string& id) { return m_entries.at(id).lastHeardAt > entry.lastHeardAt; });
+}
+
 bool ReplicaRegistry::hasEnded(const ReplicaRun& run) const
 {
     auto it = m_withdrawn.find(run.id);
@@ -174,7 +207,15 @@
 void ReplicaRegistry::removeExpired(Instant now)
 {
     // The digest of 10,000 replicas takes 2.3 ms, and this is called with each heartbeat of each controller.
-    bool hasChanged = std::erase_if(m_entries, [now](const auto& item) { return item.second.isExpired(now); }) > 0;
+    bool hasChanged = false;
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        auto next = std::next(it);
+        if (it->second.isExpired(now)) {
+            erase(it);
+            hasChanged = true;
+        }
+        it = next;
+    }
     // Resets stage changes that have expired. Otherwise the digest would differ from that of a process that started afterwards.
     for (auto& [id, entry] : m_entries) {
         bool isOver = entry.pendingStage && !entry.isChanging(now);
@@ -193,7 +234,7 @@
 void ReplicaRegistry::removeIfExpired(const std::string& id, Instant now)
 {
     if (auto it = m_entries.find(id); it != m_entries.end() && it->second.isExpired(now)) {
-        m_entries.erase(it);
+        erase(it);
         invalidateDigest();
     }
     if (auto it = m_withdrawn.find(id); it != m_withdrawn.end() && it->second.isExpired(now))
--- a/src/request/fleet/ReplicaRegistry.h
+++ b/src/request/fleet/ReplicaRegistry.h
@@ -10,7 +10,8 @@
  *
  * A run that was withdrawn, or superseded by a newer one, never returns. Two ids may have the same address for a while, since an
  * announcement that a network partition delayed may arrive after its sender has ended. Both entries are kept, and the one that is no longer
- * renewed expires. Requests to a replica carry the id of their target, so one that reaches the wrong replica is not run there.
+ * renewed expires. Until then, the one that was heard from last is taken to be at the address (`isDisplaced`). Requests to a replica carry
+ * the id of their target, so one that reaches the wrong replica is not run there.
  *
  * The start is read from the replica's own clock. If that was set back before a restart, the new run looks like a former one and is ignored
  * until the entry of the run with the later start expires. If the latest arrival counted instead, each announcement that a partition
@@ -23,6 +24,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace wrenhinge {
 
@@ -100,6 +103,8 @@
     [[nodiscard]] std::optional<ReplicaRun> newestRun(const std::string& id) const;
     /// The entry of exactly this run; nullptr if it is not known, has ended or was superseded by a newer run.
     [[nodiscard]] const Entry* find(const ReplicaRun&) const;
+    /// Whether another replica was heard from later at the address of this one, which has probably ended.
+    [[nodiscard]] bool isDisplaced(const Entry&) const;
     [[nodiscard]] const std::map<std::string, Entry>& entries() const { return m_entries; }
     [[nodiscard]] const std::map<std::string, EndedRun>& withdrawn() const { return m_withdrawn; }
 
@@ -107,8 +112,12 @@
     [[nodiscard]] bool hasEnded(const ReplicaRun&) const;
     void invalidateDigest() { m_digest = 0; }
     void removeIfExpired(const std::string& id, Instant now);
+    void insert(Entry);
+    void erase(std::map<std::string, Entry>::iterator);
+    void removeFromAddress(const Announcement&);
 
     std::map<std::string, Entry> m_entries;
+    std::unordered_map<std::string, std::vector<std::string>> m_idsAt; ///< The ids of the entries by address.
     mutable std::uint64_t m_digest = 0; ///< Cached; zero if it has to be computed again.
     std::map<std::string, EndedRun> m_withdrawn;
 };
--- a/src/request/forward/ReplicaTable.cpp
+++ b/src/request/forward/ReplicaTable.cpp
@@ -93,7 +93,7 @@
     const ReplicaRegistry::Entry* best = nullptr;
     std::tuple<bool, bool, bool, double> bestRank;
     for (const auto& [id, entry] : m_registry.entries()) {
-        if (!serves(entry.announcement, criteria) || entry.isChanging(now))
+        if (!serves(entry.announcement, criteria) || entry.isChanging(now) || m_registry.isDisplaced(entry))
             continue;
         // While all engines of the subset are full, those outside it are about as full, and their sidecars would have to be asked one by
         // one.
--- a/test/correctness/ReplicaTest.cpp
+++ b/test/correctness/ReplicaTest.cpp
@@ -19,7 +19,7 @@
     Announcement a;
     a.id = id;
     a.service = "s";
-    a.address = "10.0.0.1:80";
+    a.address = id + ":80";
     a.zone = "z";
     a.slots = 4;
     a.state = state;
@@ -66,6 +66,31 @@
     CHECK(table.choose(criteria(), { { "recent", {} } }, start)->run.id == "silent");
 }
 
+TEST_CASE("of two replicas at one address only the one that was heard from last is called")
+{
+    // Guards against calls to replicas that have ended, which other replicas refuse that have got their addresses.
+    ReplicaTable table("z", 1);
+    auto former = announcement("former", 1);
+    auto next = announcement("next", 1);
+    next.address = former.address;
+    table.noteControllerContact(start);
+    table.registry().announce(former, 0s, start);
+    CHECK(table.choose(criteria(), {}, start)->run.id == "former");
+    auto now = start + 2s;
+    table.registry().announce(next, 0s, now);
+    for (int i = 0; i < 50; ++i)
+        CHECK(table.choose(criteria(), {}, now)->run.id == "next");
+    // The announcement of the new one was late, and the former one still runs.
+    table.registry().renew(former.run(), 0s, now + 1s);
+    CHECK(table.choose(criteria(), {}, now + 1s)->run.id == "former");
+    table.registry().withdraw(former.run(), now + 1s);
+    CHECK(table.choose(criteria(), {}, now + 1s)->run.id == "next");
+    next.address = "other:1";
+    next.sequence = 2;
+    table.registry().announce(next, 0s, now + 1s);
+    CHECK(table.choose(criteria(), {}, now + 1s)->address == "other:1");
+}
+
 TEST_CASE("a replica that fails calls gets fewer of them, but always some")
 {
     // Guards against a third of the calls failing while all health checks pass: health must be derived from the calls.
