--- a/test/correctness/AccountTest.cpp
+++ b/test/correctness/AccountTest.cpp
@@ -111,7 +111,8 @@
 {
     // Guards against serving a caller after its key was revoked.
     Site site;
-    site.age().replica("d1", UpstreamKind::Decode).replica("p1", UpstreamKind::Prefill);
+    site.age().post(RegistryHeartbeatReceived { PeerId(50), { {}, 1 } });
+    site.replica("d1", UpstreamKind::Decode).replica("p1", UpstreamKind::Prefill);
     auto running = site.run(site.submit("/stream/x", 14s, {}, "k1"));
     auto waiting = site.submit("/stream/y", 14s, {}, "k1");
     site.submit("/stream/y", 14s, {}, "k2");
