A replica that asks for a rest gets no requests from the gateway or sidecar that it has asked

Callers' requests went on to a replica that had turned others away and asked for seconds of rest; each cost a retry and time. Cause: nothing read Retry-After of a replica's answer, on any path, so that it got as many requests as its backoff of 0.4 s after each refusal allowed.

Now the replica's run rests at the gateway that it has answered: no run, prefill, reservation, release, resumption or second send reaches it; of several rests the one that ends last counts, and a new run owes nothing. After the rest the replica gets one call at a time until it has answered one. Rests are not told to others: each replica speaks to one machine, and what others would gain is one refusal. A sidecar of the own protocol keeps its upstream's rests alike.

--- a/src/base/EventCode.cpp
+++ b/src/base/EventCode.cpp
@@ -55,6 +55,7 @@
         EventRow { EventCode::UpstreamRateLimited, "UPSTREAM_RATE_LIMITED" },
         EventRow { EventCode::UpstreamRateLimitLifted, "UPSTREAM_RATE_LIMIT_LIFTED" },
         EventRow { EventCode::PermitIssuerChanged, "PERMIT_ISSUER_CHANGED" },
+        EventRow { EventCode::UpstreamRests, "UPSTREAM_RESTS" },
         EventRow { EventCode::LeaderElected, "LEADER_ELECTED" },
         EventRow { EventCode::LeaderLost, "LEADER_LOST" },
         EventRow { EventCode::ConfigAccepted, "CONFIG_ACCEPTED" },
--- a/src/base/EventCode.h
+++ b/src/base/EventCode.h
@@ -65,6 +65,7 @@
     UpstreamRateLimited = 407,
     UpstreamRateLimitLifted = 408,
     PermitIssuerChanged = 409,
+    UpstreamRests = 410,
     // 5xx: controllers.
     LeaderElected = 500,
     LeaderLost = 501,
--- a/src/connection/HttpText.cpp
+++ b/src/connection/HttpText.cpp
@@ -24,6 +24,14 @@
     return std::nullopt;
 }
 
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    auto first = std::min(text.find_first_not_of(blanks), text.size());
+    auto last = text.find_last_not_of(blanks);
+    return text.substr(first, last == std::string_view::npos ? 0 : last + 1 - first);
+}
+
 void removeConnectionHeaders(HeaderList& headers)
 {
     constexpr std::array fixed { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
--- a/src/connection/HttpText.h
+++ b/src/connection/HttpText.h
@@ -17,6 +17,9 @@
 /// The first value of a header.
 std::optional<std::string_view> headerValue(const HeaderList&, std::string_view name);
 
+/// A header's value without the blanks around it.
+std::string_view trimmed(std::string_view);
+
 /// Removes the headers that concern one connection only: the fixed ones and those that `Connection` names.
 void removeConnectionHeaders(HeaderList&);
 
--- a/src/connection/RateLimitHeader.cpp
+++ b/src/connection/RateLimitHeader.cpp
@@ -13,13 +13,6 @@
     /// More than any replica takes; a larger number is a mistake and is read as this one.
     constexpr double maxPerSecond = 1e6;
 
-    std::string_view trimmed(std::string_view text)
-    {
-        auto first = std::min(text.find_first_not_of(" \t"), text.size());
-        auto last = text.find_last_not_of(" \t");
-        return text.substr(first, last == std::string_view::npos ? 0 : last + 1 - first);
-    }
-
     std::optional<double> parseRate(std::string_view text)
     {
         double value = 0;
--- a/src/connection/UpstreamClient.cpp
+++ b/src/connection/UpstreamClient.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/EngineProtocol.h"
 #include "connection/RateLimitHeader.h"
+#include "connection/RetryAfterHeader.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -120,10 +121,12 @@
         m_tokens = TokenCounter(isStreamedBody(head));
         auto headers = headersOf(head);
         m_rateLimit = readRateLimit(headers, rateLimitName);
+        if (head.result() == http::status::service_unavailable)
+            m_rest = readRetryAfter(headers);
         if (m_call.kind != UpstreamKind::Plain && m_status >= 400)
             return fail(true, m_status < 500 ? ResultCode::MalformedRequest : ResultCode::UpstreamFailed);
         if (m_call.kind != UpstreamKind::Prefill)
-            report(sidecar::CallHead { m_call.id, m_status, std::move(headers), m_rateLimit });
+            report(sidecar::CallHead { m_call.id, m_status, std::move(headers), m_rateLimit, m_rest });
         readBody();
     }
 
@@ -182,7 +185,7 @@
 
     void fail(bool mayHaveRun, ResultCode code = ResultCode::UpstreamFailed)
     {
-        finish(sidecar::CallFailed { m_call.id, mayHaveRun, code });
+        finish(sidecar::CallFailed { m_call.id, mayHaveRun, code, false, m_rest });
     }
 
     /// The connection ended before the answer was complete.
@@ -212,6 +215,7 @@
     std::string m_gathered;
     TokenCounter m_tokens;
     StatedRateLimit m_rateLimit;
+    std::optional<Duration> m_rest;
     int m_status = 0;
     bool m_done = false;
 };
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -244,7 +244,7 @@
         const GatheredAnswer& answer, const std::string& caller, const ReplicaRun& replica, Instant calledAt)
     {
         auto metadata = Dialect::readAnswer(answer.head, caller);
-        post(forward::ReplicaAnswered { replica, metadata.rateLimit, calledAt });
+        post(forward::ReplicaAnswered { replica, metadata, calledAt });
         return { answer.head.status == 200 && !metadata.wasNotRun && !metadata.isStream, metadata.wasNotRun, metadata.isMisdirected };
     }
 
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -43,7 +43,7 @@
     flow->metadata = event.metadata;
     flow->headers = event.headers;
     flow->lastEventAt = now;
-    observeLimit(flow->replica, event.metadata.rateLimit, flow->sentAt, now);
+    observeAnswer(flow->replica, event.metadata, flow->sentAt, now);
     scheduleCheck(*flow);
 }
 
@@ -257,6 +257,8 @@
         return;
     if (auto atLimit = replicasAtLimit(flow, now); !flow.runs && !atLimit.empty())
         return refuseAtLimit(flow, reason, atLimit, now);
+    if (!flow.runs && refuseIfAllRest(flow, now))
+        return;
     auto notRun = flow.refusals ? ResultCode::Overloaded : ResultCode::NoUpstream;
     refuse(flow, flow.runs ? ResultCode::UpstreamFailed : notRun, reason, now);
 }
--- a/src/request/forward/ForwardEvents.h
+++ b/src/request/forward/ForwardEvents.h
@@ -43,6 +43,7 @@
     bool isGenuine = true; ///< For a success: it has the headers that only a replica sets, so it does not come from something in between.
     bool isStream = false;
     StatedRateLimit rateLimit;
+    std::optional<Duration> rest; ///< The replica has turned the request away and wants no other from this process for so long.
 };
 
 struct Submit {
@@ -77,7 +78,7 @@
 /// A replica answered a call that the gateway made for itself, such as a prefill or a reservation.
 struct ReplicaAnswered {
     ReplicaRun replica;
-    StatedRateLimit rateLimit;
+    AnswerMetadata metadata;
     Instant calledAt;
 };
 /// A slot and KV memory are reserved for the request: by a decode replica, or by its sidecar if the id is empty.
--- a/src/request/forward/ForwardLimits.cpp
+++ b/src/request/forward/ForwardLimits.cpp
@@ -50,7 +50,7 @@
         LogEvent { code, {}, describe(change) + ", known from " + source + ", revision " + std::to_string(change.revision) });
 }
 
-void ForwardLogic::on(const ReplicaAnswered& event, Instant now) { observeLimit(event.replica, event.rateLimit, event.calledAt, now); }
+void ForwardLogic::on(const ReplicaAnswered& event, Instant now) { observeAnswer(event.replica, event.metadata, event.calledAt, now); }
 
 void ForwardLogic::on(const ReplicaLimitsReceived& event, Instant now)
 {
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -222,6 +222,8 @@
     }
     if (refuseIfVersionIsGone(flow, now))
         return;
+    if (refuseIfAllRest(flow, now))
+        return;
     if (m_replicas.hasReady(criteriaOf(flow)))
         refuse(flow, ResultCode::Overloaded, "no replica of the service can take another call", now);
     else
--- a/src/request/forward/ForwardReservations.cpp
+++ b/src/request/forward/ForwardReservations.cpp
@@ -38,6 +38,11 @@
     // Without any decode replica there is nothing to wait for.
     if (!m_replicas.hasReady(criteriaOf(flow)))
         return false;
+    // Nor is there if all of them rest longer than the request can wait.
+    if (auto end = m_replicas.allRestUntil(criteriaOf(flow), now); end && *end > admitBy(flow)) {
+        refuseAsResting(flow, *end, now);
+        return true;
+    }
     flow.stage = Flow::Stage::Waiting;
     flow.waiter = ReservationQueue::makeWaiter(flow.id, rankOf(flow), flow.arrivedAt, admitBy(flow), now);
     m_queue.add(flow.waiter);
@@ -164,7 +169,7 @@
     if (flow.reservationSidecar) {
         m_limits.undoCall(reservation->replica, now);
         endSidecarReservation(flow, false);
-    } else {
+    } else if (m_replicas.takesCalls(reservation->replica, now)) {
         m_limits.recordCall(reservation->replica, now);
         m_effects.push_back(ReleaseReservation { std::move(*reservation) });
     }
@@ -175,7 +180,7 @@
 {
     if (flow.kvSource && flow.kvSourceExpiresAt <= now)
         releaseKvSource(flow, now);
-    if (flow.reservation && m_replicas.isReady(flow.reservation->replica))
+    if (flow.reservation && m_replicas.takesCalls(flow.reservation->replica, now))
         return ReplicaTable::Choice { flow.reservation->replica, flow.reservation->address };
     releaseReservation(flow, now);
     auto criteria = criteriaOf(flow);
@@ -312,7 +317,8 @@
 void ForwardLogic::releaseKvSource(Flow& flow, Instant now)
 {
     auto source = std::exchange(flow.kvSource, std::nullopt);
-    if (!source)
+    // At a replica that rests, what isn't released expires.
+    if (!source || !m_replicas.takesCalls(source->replica, now))
         return;
     m_limits.recordCall(source->replica, now);
     m_effects.push_back(ReleaseKvCache { std::move(*source) });
--- a/src/request/forward/ReplicaTable.cpp
+++ b/src/request/forward/ReplicaTable.cpp
@@ -112,7 +112,8 @@
         bool isFull = load.fullUntil > now || (headroom && headroom->tokens < criteria.minFreeTokens);
         if (criteria.excludeOverdue && entry.isOverdue(now))
             continue;
-        if (isAtLimit || load.misdirectedUntil > now || (criteria.excludeFull && isFull))
+        bool isResting = load.restsUntil > now || (load.isOnTrial && load.calls > 0);
+        if (isResting || isAtLimit || load.misdirectedUntil > now || (criteria.excludeFull && isFull))
             continue;
         // For an engine whose free memory isn't known, only this gateway's own calls are counted, which are the smallest part of its load.
         bool hasUnknownHeadroom = criteria.promptTokens && !headroom;
@@ -184,6 +185,42 @@
     return entry && entry->announcement.state == ReplicaState::Ready;
 }
 
+bool ReplicaTable::takesCalls(const ReplicaRun& run, Instant now) const
+{
+    auto it = m_loads.find(run);
+    bool isResting = it != m_loads.end() && it->second.restsUntil > now;
+    return isReady(run) && !isResting;
+}
+
+void ReplicaTable::noteRest(const ReplicaRun& run, Instant until)
+{
+    auto& load = m_loads[run];
+    load.restsUntil = std::max(load.restsUntil, until);
+    load.isOnTrial = true;
+}
+
+void ReplicaTable::noteAnswer(const ReplicaRun& run, Instant calledAt)
+{
+    auto it = m_loads.find(run);
+    if (it != m_loads.end() && calledAt >= it->second.restsUntil)
+        it->second.isOnTrial = false;
+}
+
+std::optional<Instant> ReplicaTable::allRestUntil(const Criteria& criteria, Instant now) const
+{
+    std::optional<Instant> first;
+    for (const auto& [id, entry] : m_registry.entries()) {
+        auto it = m_loads.find(entry.announcement.run());
+        bool isKnown = it != m_loads.end();
+        if (!serves(entry.announcement, criteria))
+            continue;
+        if (!isKnown || it->second.restsUntil <= now)
+            return std::nullopt;
+        first = std::min(first.value_or(Instant::max()), it->second.restsUntil);
+    }
+    return first;
+}
+
 void ReplicaTable::forgetEnded()
 {
     std::erase_if(m_loads, [this](const auto& item) { return !item.second.calls && !m_registry.find(item.first); });
--- a/src/request/forward/ReplicaTable.h
+++ b/src/request/forward/ReplicaTable.h
@@ -60,6 +60,8 @@
         Instant backoffUntil;
         Duration backoff {};
         Instant misdirectedUntil; ///< It isn't what it announced, and gets no calls until its next announcement is due.
+        Instant restsUntil; ///< It has asked for no calls before this time.
+        bool isOnTrial = false; ///< After a rest: it gets one call at a time until it has answered one without asking for another rest.
         Instant fullUntil; ///< It refused a reservation and is not asked for another one before this time.
     };
 
@@ -101,6 +103,14 @@
     EngineHeadroomTable& engineHeadroom() { return m_engineHeadroom; }
     /// Whether exactly this run accepts work.
     [[nodiscard]] bool isReady(const ReplicaRun&) const;
+    /// Whether exactly this run accepts work and does not rest.
+    [[nodiscard]] bool takesCalls(const ReplicaRun&, Instant now) const;
+    /// Records that the replica has asked for a rest. Of several, the one that ends last counts.
+    void noteRest(const ReplicaRun&, Instant until);
+    /// Records that the replica has answered a call that was sent at `calledAt` without asking for a rest.
+    void noteAnswer(const ReplicaRun&, Instant calledAt);
+    /// When the first of the replicas that could be chosen ends its rest; nothing if one of them does not rest, or there is none.
+    [[nodiscard]] std::optional<Instant> allRestUntil(const Criteria&, Instant now) const;
     /// Drops the load data of runs that have ended, except those with calls in progress.
     void forgetEnded();
     /// Records that a controller sent something. Only while controllers do so, missing announcements count against a replica.
--- a/src/request/sidecar/CallRateLimiter.cpp
+++ b/src/request/sidecar/CallRateLimiter.cpp
@@ -46,10 +46,11 @@
 
 Duration CallRateLimiter::waitFor(std::size_t ahead, Instant now) const
 {
+    auto rest = std::max(Duration::zero(), m_restsUntil - now);
     if (!m_perSecond)
-        return Duration::zero();
+        return rest;
     auto missing = static_cast<double>(ahead) + 1 - level(now);
-    return std::max(Duration::zero(), fromSeconds(missing / *m_perSecond));
+    return std::max(rest, fromSeconds(missing / *m_perSecond));
 }
 
 } // namespace wrenhinge
--- a/src/request/sidecar/SidecarEvents.h
+++ b/src/request/sidecar/SidecarEvents.h
@@ -7,6 +7,7 @@
 #include "message/PeerEvents.h"
 #include "request/fleet/StatedRateLimit.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -37,6 +38,7 @@
         int status = 0;
         HeaderList headers;
         StatedRateLimit rateLimit {};
+        std::optional<Duration> rest {}; ///< The upstream has turned the request away and wants no other for so long.
     };
     struct CallData {
         CallId call;
@@ -60,6 +62,7 @@
         bool mayHaveRun = true;
         ResultCode code = ResultCode::UpstreamFailed;
         bool isDisconnected = false; ///< The connection closed before the response ended: the engine may have crashed.
+        std::optional<Duration> rest {}; ///< See CallHead.
     };
     /// The process was asked to shut down: it takes no new work and ends when the work in progress has ended.
     struct Drain { };
--- a/src/request/sidecar/SidecarLogic.cpp
+++ b/src/request/sidecar/SidecarLogic.cpp
@@ -81,12 +81,21 @@
     if (!work)
         return;
     observeLimit(event.rateLimit, work->started, now);
+    observeRest(event.rest, now);
     work->answer.status = event.status;
     work->answer.headers = event.headers;
     if (!work->detached)
         send(work->gateway, ResponseHead { work->key.request, work->key.attempt, event.status, event.headers });
 }
 
+void SidecarLogic::observeRest(std::optional<Duration> rest, Instant now)
+{
+    if (!rest)
+        return;
+    m_rateLimit.rest(now + *rest);
+    m_effects.push_back(LogEvent { EventCode::UpstreamRests, {}, "the upstream for " + std::to_string(*rest / 1ms) + " ms" });
+}
+
 void SidecarLogic::observeLimit(const StatedRateLimit& stated, Instant calledAt, Instant now)
 {
     if (!m_rateLimit.observe(stated, calledAt, now))
@@ -138,6 +147,7 @@
 
 void SidecarLogic::on(const sidecar::CallFailed& event, Instant now)
 {
+    observeRest(event.rest, now);
     auto* work = findWork(event.call);
     if (!work)
         return;
--- a/src/request/sidecar/SidecarLogic.h
+++ b/src/request/sidecar/SidecarLogic.h
@@ -101,6 +101,7 @@
     void undoRecordedCall(const Work&, Instant);
     void releaseResult(std::string kvParams, Instant);
     void finish(Work&, Instant);
+    void observeRest(std::optional<Duration>, Instant);
     void observeLimit(const StatedRateLimit&, Instant calledAt, Instant);
     void observeTokens(Work&, std::uint32_t tokens, Instant);
     [[nodiscard]] Duration retryAfter(const Work&, Instant) const;
--- a/src/request/sidecar/SidecarScheduling.cpp
+++ b/src/request/sidecar/SidecarScheduling.cpp
@@ -110,6 +110,8 @@
 
 void SidecarLogic::startReady(Instant now)
 {
+    if (m_rateLimit.isResting(now))
+        return;
     // Work that can still meet its deadline starts before work that has already missed it.
     for (bool isLatePass : { false, true }) {
         for (const auto& key : m_ready.keys()) {
@@ -197,6 +199,9 @@
 
 void SidecarLogic::releaseResult(std::string kvParams, Instant now)
 {
+    // At an upstream that rests, what isn't released expires.
+    if (m_rateLimit.isResting(now))
+        return;
     m_rateLimit.recordCall(now);
     m_effects.push_back(sidecar::ReleaseResult { std::move(kvParams) });
 }
