A replica's request for a rest is no sign that the service is overloaded

Callers were refused while other replicas had free slots: 40 of 50 requests after 30 calls in progress at one of two replicas had been turned away with a request for rest. Cause: the load shedder takes each refusal for one of a full queue, and at its highest pressure only one request in ten is sent, whose answers lower it again. A rest is about the replica and the gateway; the replica gets no calls meanwhile, so its refusals don't return. Test: ReplicaRestTest, fails before (40 refused), 0 after.

--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -105,7 +105,7 @@
     if (metadata.wasNotRun || metadata.isMisdirected) {
         if (metadata.isMisdirected)
             restoreKvSource(*flow);
-        else if (!flow->route->hasPrompt)
+        else if (!flow->route->hasPrompt && !metadata.rest)
             m_shedder.noteFull(flow->service, now);
         endCall(*flow, metadata.isMisdirected ? CallOutcome::Misdirected : CallOutcome::Refused, now);
         ++flow->refusals;
--- a/test/correctness/ReplicaRestTest.cpp
+++ b/test/correctness/ReplicaRestTest.cpp
@@ -177,6 +177,29 @@
     }
 }
 
+TEST_CASE("requests for a rest don't make the gateway shed the requests that other replicas can serve")
+{
+    Bench bench;
+    bench.serve().replica("a").replica("b");
+    std::vector<Send> atTired;
+    for (int i = 0; i < 60; ++i) {
+        bench.submit("/once/x");
+        if (bench.only<Send>().replica.id == "a")
+            atTired.push_back(bench.only<Send>());
+    }
+    REQUIRE(atTired.size() > 20);
+    for (const auto& send : atTired)
+        turnAway(bench, send, 3s);
+    int refused = 0;
+    for (int i = 0; i < 50; ++i) {
+        bench.submit("/once/x");
+        refused += static_cast<int>(bench.effects<Refuse>().size());
+        for (const auto& send : bench.effects<Send>())
+            bench.answer(send, 200);
+    }
+    CHECK(refused == 0);
+}
+
 TEST_CASE("a rest is read from a positive number of seconds and nothing else")
 {
     auto read = [](const std::string& value) { return readRetryAfter({ { "Retry-After", value } }); };
