A replica that says in an answer that it leaves gets no more requests from that gateway

Requests reached replicas after they had said that they leave (DRAIN): 54 later than two seconds after, at one that went on announcing itself as ready. Cause: nothing read the header; only announcements made a replica leave, and those may be lost or late. Now the run is left alone from the answer on, by every path, and until its end: what it says of its leaving is final, a new run has said nothing. Streams that run there go on. With no other replica, requests are refused at once.

--- a/src/base/EventCode.cpp
+++ b/src/base/EventCode.cpp
@@ -56,6 +56,7 @@
         EventRow { EventCode::UpstreamRateLimitLifted, "UPSTREAM_RATE_LIMIT_LIFTED" },
         EventRow { EventCode::PermitIssuerChanged, "PERMIT_ISSUER_CHANGED" },
         EventRow { EventCode::UpstreamRests, "UPSTREAM_RESTS" },
+        EventRow { EventCode::UpstreamLeaves, "UPSTREAM_LEAVES" },
         EventRow { EventCode::LeaderElected, "LEADER_ELECTED" },
         EventRow { EventCode::LeaderLost, "LEADER_LOST" },
         EventRow { EventCode::ConfigAccepted, "CONFIG_ACCEPTED" },
--- a/src/base/EventCode.h
+++ b/src/base/EventCode.h
@@ -66,6 +66,7 @@
     UpstreamRateLimitLifted = 408,
     PermitIssuerChanged = 409,
     UpstreamRests = 410,
+    UpstreamLeaves = 411,
     // 5xx: controllers.
     LeaderElected = 500,
     LeaderLost = 501,
--- a/src/request/forward/ForwardEvents.h
+++ b/src/request/forward/ForwardEvents.h
@@ -44,6 +44,7 @@
     bool isStream = false;
     StatedRateLimit rateLimit;
     std::optional<Duration> rest; ///< The replica has turned the request away and wants no other from this process for so long.
+    bool isLeaving = false; ///< The replica leaves and takes no new requests.
 };
 
 struct Submit {
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -15,7 +15,7 @@
  * - A replica that states a request rate limit gets no more than that from all gateways together (ReplicaLimits). Other replicas of its
  *   service are used instead; if there are none, the request is refused at once.
  * - A replica that turns a request away and asks for a rest gets no request from this gateway until the rest is over, and then one at a
- *   time until it has answered one.
+ *   time until it has answered one. One that says in an answer that it leaves gets no more requests.
  * - While the process shuts down, a stream that might outlive it is refused at once (StreamForecast).
  * - At the route's timeout or the caller's timeout, whichever is earlier, the caller has a final answer and the replica is released.
  */
@@ -222,7 +222,7 @@
     void refuseAsCrashing(Flow&, Instant);
     void recordIfConvicted(ContentFingerprint, Instant);
     void refuseNewlyConvicted(Instant);
-    // Replicas that ask for a rest (ForwardRests.cpp).
+    // Replicas that leave or ask for a rest (ForwardRests.cpp).
     void observeAnswer(const ReplicaRun&, const forward::AnswerMetadata&, Instant calledAt, Instant);
     bool refuseIfAllRest(Flow&, Instant);
     void refuseAsResting(Flow&, Instant firstEnd, Instant);
--- a/src/request/forward/ForwardRests.cpp
+++ b/src/request/forward/ForwardRests.cpp
@@ -1,5 +1,5 @@
 /** \file
- * The part of ForwardLogic for replicas that say in their answers that they want no requests for a while.
+ * The part of ForwardLogic for what replicas say of themselves in their answers: that they leave, or want no requests for a while.
  */
 #include "request/forward/ForwardLogic.h"
 
@@ -18,6 +18,8 @@
 void ForwardLogic::observeAnswer(const ReplicaRun& run, const AnswerMetadata& metadata, Instant calledAt, Instant now)
 {
     observeLimit(run, metadata.rateLimit, calledAt, now);
+    if (metadata.isLeaving && m_replicas.noteLeaving(run))
+        m_effects.push_back(LogEvent { EventCode::UpstreamLeaves, {}, toString(run) + " says in an answer that it leaves" });
     if (!metadata.rest)
         return m_replicas.noteAnswer(run, calledAt);
     m_replicas.noteRest(run, now + *metadata.rest);
--- a/src/request/forward/ReplicaTable.cpp
+++ b/src/request/forward/ReplicaTable.cpp
@@ -79,7 +79,10 @@
 bool ReplicaTable::hasReady(const Criteria& criteria) const
 {
     const auto& entries = m_registry.entries();
-    return std::any_of(entries.begin(), entries.end(), [&](const auto& item) { return serves(item.second.announcement, criteria); });
+    return std::any_of(entries.begin(), entries.end(), [&](const auto& item) {
+        const auto& announcement = item.second.announcement;
+        return serves(announcement, criteria) && !hasSaidItLeaves(announcement.run());
+    });
 }
 
 std::optional<std::string> ReplicaTable::softwareVersionOf(const std::string& id) const
@@ -113,7 +116,7 @@
         if (criteria.excludeOverdue && entry.isOverdue(now))
             continue;
         bool isResting = load.restsUntil > now || (load.isOnTrial && load.calls > 0);
-        if (isResting || isAtLimit || load.misdirectedUntil > now || (criteria.excludeFull && isFull))
+        if (load.isLeaving || isResting || isAtLimit || load.misdirectedUntil > now || (criteria.excludeFull && isFull))
             continue;
         // For an engine whose free memory isn't known, only this gateway's own calls are counted, which are the smallest part of its load.
         bool hasUnknownHeadroom = criteria.promptTokens && !headroom;
@@ -188,8 +191,14 @@
 bool ReplicaTable::takesCalls(const ReplicaRun& run, Instant now) const
 {
     auto it = m_loads.find(run);
-    bool isResting = it != m_loads.end() && it->second.restsUntil > now;
-    return isReady(run) && !isResting;
+    bool isWithdrawn = it != m_loads.end() && (it->second.isLeaving || it->second.restsUntil > now);
+    return isReady(run) && !isWithdrawn;
+}
+
+bool ReplicaTable::hasSaidItLeaves(const ReplicaRun& run) const
+{
+    auto it = m_loads.find(run);
+    return it != m_loads.end() && it->second.isLeaving;
 }
 
 void ReplicaTable::noteRest(const ReplicaRun& run, Instant until)
@@ -206,13 +215,15 @@
         it->second.isOnTrial = false;
 }
 
+bool ReplicaTable::noteLeaving(const ReplicaRun& run) { return !std::exchange(m_loads[run].isLeaving, true); }
+
 std::optional<Instant> ReplicaTable::allRestUntil(const Criteria& criteria, Instant now) const
 {
     std::optional<Instant> first;
     for (const auto& [id, entry] : m_registry.entries()) {
         auto it = m_loads.find(entry.announcement.run());
         bool isKnown = it != m_loads.end();
-        if (!serves(entry.announcement, criteria))
+        if (!serves(entry.announcement, criteria) || (isKnown && it->second.isLeaving))
             continue;
         if (!isKnown || it->second.restsUntil <= now)
             return std::nullopt;
--- a/src/request/forward/ReplicaTable.h
+++ b/src/request/forward/ReplicaTable.h
@@ -62,6 +62,7 @@
         Instant misdirectedUntil; ///< It isn't what it announced, and gets no calls until its next announcement is due.
         Instant restsUntil; ///< It has asked for no calls before this time.
         bool isOnTrial = false; ///< After a rest: it gets one call at a time until it has answered one without asking for another rest.
+        bool isLeaving = false; ///< It has said so in an answer, and gets no more calls.
         Instant fullUntil; ///< It refused a reservation and is not asked for another one before this time.
     };
 
@@ -103,12 +104,14 @@
     EngineHeadroomTable& engineHeadroom() { return m_engineHeadroom; }
     /// Whether exactly this run accepts work.
     [[nodiscard]] bool isReady(const ReplicaRun&) const;
-    /// Whether exactly this run accepts work and does not rest.
+    /// Whether exactly this run accepts work, does not rest and does not leave.
     [[nodiscard]] bool takesCalls(const ReplicaRun&, Instant now) const;
     /// Records that the replica has asked for a rest. Of several, the one that ends last counts.
     void noteRest(const ReplicaRun&, Instant until);
     /// Records that the replica has answered a call that was sent at `calledAt` without asking for a rest.
     void noteAnswer(const ReplicaRun&, Instant calledAt);
+    /// Records that the replica has said that it leaves. \returns whether this is new.
+    bool noteLeaving(const ReplicaRun&);
     /// When the first of the replicas that could be chosen ends its rest; nothing if one of them does not rest, or there is none.
     [[nodiscard]] std::optional<Instant> allRestUntil(const Criteria&, Instant now) const;
     /// Drops the load data of runs that have ended, except those with calls in progress.
@@ -121,6 +124,7 @@
 private:
     [[nodiscard]] static bool serves(const Announcement&, const Criteria&);
     [[nodiscard]] double costOf(const ReplicaRegistry::Entry&, const Load&, const EngineHeadroomTable::Headroom*, const Criteria&) const;
+    [[nodiscard]] bool hasSaidItLeaves(const ReplicaRun&) const;
     [[nodiscard]] bool isSuspect(const ReplicaRegistry::Entry&, const Load&, Instant now) const;
 
     std::string m_zone;
--- a/test/correctness/ReplicaRestTest.cpp
+++ b/test/correctness/ReplicaRestTest.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Replicas that ask for a rest when they turn a request away.
+ * Replicas that ask for a rest when they turn a request away, or say in an answer that they leave.
  */
 #include "ForwardBench.h"
 
@@ -95,14 +95,15 @@
     CHECK(bench.effects<Send>().empty());
 }
 
-TEST_CASE("a new run of a replica owes no rest to the former one")
+TEST_CASE("a new run of a replica owes no rest to the former one, and doesn't leave as that one did")
 {
     Bench bench;
     bench.serve().restart("a");
-    auto resting = turnedAway(60s);
+    AnswerMetadata leaving = turnedAway(60s);
+    leaving.isLeaving = true;
     bench.submit("/once/x");
     auto send = bench.only<Send>();
-    bench.post(AnswerHead { send.id, send.attempt, resting, {} });
+    bench.post(AnswerHead { send.id, send.attempt, leaving, {} });
     bench.post(AnswerEnd { send.id, send.attempt });
     CHECK(callsTo(bench, "a") == 0);
     bench.restart("a");
@@ -200,6 +201,25 @@
     CHECK(refused == 0);
 }
 
+TEST_CASE("a replica that says that it leaves gets no calls, whatever it announces")
+{
+    Bench bench;
+    bench.serve().replica("a").replica("b");
+    AnswerMetadata leaving;
+    leaving.status = 200;
+    leaving.isLeaving = true;
+    bench.post(ReplicaAnswered { { "a", {} }, leaving, bench.now });
+    bench.replica("a", UpstreamKind::Plain, 2);
+    CHECK(callsTo(bench, "a") == 0);
+    bench.now += 60s;
+    bench.replica("a", UpstreamKind::Plain, 3);
+    CHECK(callsTo(bench, "a") == 0);
+    // Once all leave, there is nothing to wait for.
+    bench.post(ReplicaAnswered { { "b", {} }, leaving, bench.now });
+    bench.submit("/once/x");
+    CHECK(bench.only<Refuse>().error.code == ResultCode::NoUpstream);
+}
+
 TEST_CASE("a rest is read from a positive number of seconds and nothing else")
 {
     auto read = [](const std::string& value) { return readRetryAfter({ { "Retry-After", value } }); };
