--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -1,6 +1,6 @@
 /** \file
- * The process role of a gateway that calls upstreams itself: it connects ForwardLogic to the callers' connections, a pool of
- * persistent connections to replicas, and connections to controllers.
+ * The process role of a gateway that calls upstreams itself: it connects ForwardLogic to the callers' connections, the calls to replicas
+ * (ForwardCalls), and connections to controllers.
  *
  * All request processing runs on one strand. Effects are executed after the logic's step has returned, never during it: a
  * connection that fails immediately would otherwise re-enter the logic.
@@ -8,12 +8,10 @@
 #pragma once
 
 #include "connection/HttpServer.h"
-#include "connection/HttpText.h"
 #include "connection/PeerHub.h"
-#include "connection/UpstreamPool.h"
 #include "process/AccountPages.h"
 #include "process/AdminPages.h"
-#include "process/ForwardAdapter.h"
+#include "process/ForwardCalls.h"
 #include "process/ForwardMetrics.h"
 #include "process/ForwardPages.h"
 #include "process/ForwardPeers.h"
@@ -62,7 +60,7 @@
               [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { onRequest(std::move(request), std::move(answer)); })
         , m_ready(m_strand, [this](HttpRequest&&, const std::shared_ptr<HttpAnswer>& answer) { onReadyCheck(*answer); })
         , m_peers(m_hub, settings.sidecarPort)
-        , m_pool(m_strand)
+        , m_calls(m_strand, runtime.refusals(), [this](const forward::Event& event) { post(event); })
         , m_pages(settings, runtime, { [this] { return isReady(); }, [this] { return m_hub.peers(); } })
         , m_documents(
               runtime.timers(), [this](document::Effect& effect) { executeDocumentEffect(effect); }, document::Tick {}, randomIdentity())
@@ -207,84 +205,14 @@
 
     void execute(forward::Send& send)
     {
-        auto* exchange = find(send.id);
-        if (!exchange)
-            return;
-        auto handlers = send.isPrefill ? prefillHandlers(send, exchange->callerId) : answerHandlers(send, exchange->callerId);
-        handlers.whose = [caller = exchange->callerId](const UpstreamHead& head) { return Dialect::whose(head, caller); };
-        handlers.onFailure = [this, id = send.id, attempt = send.attempt](bool mayHaveRun, const std::string& why) {
-            post(forward::CallFailed { id, attempt, mayHaveRun, why });
-        };
-        exchange->call = m_pool.call(send.replica, send.address, Dialect::upstreamRequest(exchange->request, send), std::move(handlers));
-    }
-
-    UpstreamCallHandlers answerHandlers(const forward::Send& send, const std::string& caller)
-    {
-        UpstreamCallHandlers handlers;
-        auto id = send.id;
-        auto attempt = send.attempt;
-        handlers.onHead = [this, id, attempt, caller](const UpstreamHead& head) {
-            auto headers = head.headers;
-            removeConnectionHeaders(headers);
-            post(forward::AnswerHead { id, attempt, Dialect::readAnswer(head, caller), std::move(headers) });
-        };
-        handlers.onBody = [this, id, attempt](std::string bytes) { post(forward::AnswerBody { id, attempt, std::move(bytes) }); };
-        handlers.onEnd = [this, id, attempt] { post(forward::AnswerEnd { id, attempt }); };
-        return handlers;
-    }
-
-    /// Result of a call that the gateway makes for itself, such as a reservation; its answer isn't passed on to the caller.
-    struct ControlCallResult {
-        bool isSuccess = false;
-        bool wasNotRun = false; ///< See AnswerMetadata.
-        bool isMisdirected = false; ///< See AnswerMetadata.
-    };
-
-    ControlCallResult readControlCallResult(
-        const GatheredAnswer& answer, const std::string& caller, const ReplicaRun& replica, Instant calledAt)
-    {
-        auto metadata = Dialect::readAnswer(answer.head, caller);
-        post(forward::ReplicaAnswered { replica, metadata, calledAt });
-        return { answer.head.status == 200 && !metadata.wasNotRun && !metadata.isStream, metadata.wasNotRun, metadata.isMisdirected };
-    }
-
-    UpstreamCallHandlers prefillHandlers(const forward::Send& send, const std::string& caller)
-    {
-        auto onEnd = [this, caller, id = send.id, attempt = send.attempt, replica = send.replica, calledAt = currentInstant()](
-                         const GatheredAnswer& answer) {
-            auto result = readControlCallResult(answer, caller, replica, calledAt);
-            auto handle = result.isSuccess ? Dialect::readPrefill(answer.body) : std::nullopt;
-            if (result.isSuccess && !handle)
-                m_runtime.refusals().note(InputSource::Report, replica.id, "the answer to a prefill contains no valid KV cache handle");
-            if (handle)
-                post(forward::PrefillFinished { id, attempt, std::move(*handle) });
-            else
-                post(forward::PrefillFailed { id, attempt, result.wasNotRun, result.isMisdirected });
-        };
-        return gather(onEnd, {});
+        if (auto* exchange = find(send.id))
+            exchange->call = m_calls.start(send, exchange->request, exchange->callerId);
     }
 
     void execute(forward::ReserveAtReplica& reserve)
     {
-        auto* exchange = find(reserve.id);
-        if (!exchange)
-            return;
-        auto id = reserve.id;
-        auto attempt = reserve.attempt;
-        auto onEnd = [this, caller = exchange->callerId, id, attempt, replica = reserve.replica, calledAt = currentInstant()](
-                         const GatheredAnswer& answer) {
-            bool isGranted = readControlCallResult(answer, caller, replica, calledAt).isSuccess;
-            auto reservation = isGranted ? Dialect::readPlace(answer.body) : std::nullopt;
-            if (isGranted && !reservation)
-                m_runtime.refusals().note(
-                    InputSource::Report, replica.id, "the answer to a reservation request contains no valid reservation id");
-            if (reservation)
-                post(forward::ReservationGranted { id, attempt, std::move(*reservation) });
-            else
-                post(forward::ReservationRefused { id, attempt, true });
-        };
-        auto onFailure = [this, id, attempt](bool, const std::string&) { post(forward::ReservationRefused { id, attempt, false }); };
-        exchange->call = m_pool.call(reserve.replica, reserve.address, Dialect::takePlace(reserve), gather(onEnd, onFailure));
+        if (auto* exchange = find(reserve.id))
+            exchange->call = m_calls.start(reserve, exchange->callerId);
     }
 
     void execute(forward::ReserveAtSidecar& reserve)
@@ -298,21 +226,9 @@
     requires requires(ForwardPeers& peers, E& effect) { peers.execute(effect); }
     void execute(E& effect) { m_peers.execute(effect); }
 
-    void execute(forward::ReleaseReservation& release)
-    {
-        callBestEffort(release.reservation.replica, release.reservation.address, Dialect::dropPlace(release.reservation));
-    }
+    void execute(forward::ReleaseReservation& release) { m_calls.release(release.reservation); }
 
-    void execute(forward::ReleaseKvCache& release)
-    {
-        callBestEffort(release.source.replica, release.source.address, Dialect::freePrompt(release.source));
-    }
-
-    /// Releases something at a replica. A failure is ignored: what isn't released expires at the end of its hold time.
-    void callBestEffort(const ReplicaRun& replica, const std::string& address, UpstreamRequest request)
-    {
-        m_pool.call(replica, address, std::move(request), gather([](const GatheredAnswer&) {}, [](bool, const std::string&) {}));
-    }
+    void execute(forward::ReleaseKvCache& release) { m_calls.release(release.source); }
 
     void execute(forward::CancelCall& cancel)
     {
@@ -361,7 +277,7 @@
 
     void execute(forward::Finished& finished) { m_metrics.record(finished); }
 
-    void execute(forward::DropConnections& drop) { m_pool.forget(drop.replica); }
+    void execute(forward::DropConnections& drop) { m_calls.forget(drop.replica); }
 
     void execute(forward::SetLimits& set)
     {
@@ -427,7 +343,7 @@
     HttpServer m_callers;
     HttpServer m_ready;
     ForwardPeers m_peers;
-    UpstreamPool m_pool;
+    ForwardCalls<Dialect> m_calls;
     AdminPages m_pages;
     ForwardMetrics m_metrics;
     std::vector<forward::Effect> m_effects; ///< Guarded by the driver's lock.
--- a/src/request/fleet/PermitClient.h
+++ b/src/request/fleet/PermitClient.h
@@ -7,8 +7,8 @@
  */
 #pragma once
 
-#include "request/fleet/PermitBucket.h"
 #include "request/fleet/GatewayCount.h"
+#include "request/fleet/PermitBucket.h"
 
 #include <map>
 #include <optional>
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -225,7 +225,8 @@
     std::array<char, 32> left {};
     std::snprintf(left.data(), left.size(), "%.2f", m_budget.remaining(flow.service, now));
     m_effects.push_back(LogEvent { EventCode::RetryNotAllowed, flow.id,
-        std::string(left.data()) + " retries left for " + flow.service + ", shared by " + std::to_string(m_budget.gateways()) + " gateways" });
+        std::string(left.data()) + " retries left for " + flow.service + ", shared by " + std::to_string(m_budget.gateways())
+            + " gateways" });
 }
 
 /// Sends the request again if its route, the number of sends, the available replicas and the retry budget allow it.
--- a/src/request/forward/ForwardRests.cpp
+++ b/src/request/forward/ForwardRests.cpp
@@ -39,8 +39,7 @@
 void ForwardLogic::refuseAsResting(Flow& flow, Instant firstEnd, Instant now)
 {
     auto spread = std::uniform_int_distribution<std::int64_t>(0, returnSpread.count())(m_random);
-    refuseUntil(
-        flow, ResultCode::Overloaded, "all replicas of the service have asked for a rest", firstEnd - now + Duration(spread), now);
+    refuseUntil(flow, ResultCode::Overloaded, "all replicas of the service have asked for a rest", firstEnd - now + Duration(spread), now);
 }
 
 } // namespace wrenhinge
