--- a/test/correctness/RegistrarTest.cpp
+++ b/test/correctness/RegistrarTest.cpp
@@ -96,6 +96,7 @@
     CHECK(link.heard.await(1).gateways == 0);
     link.start();
     CHECK(link.heard.await(2).gateways == 1);
+    CHECK(link.heard.await(2).recentGateways == 1);
 }
 
 TEST_CASE("a controller that has just started says nothing of how many gateways there are")
