--- a/test/support/RetryFleet.h
+++ b/test/support/RetryFleet.h
@@ -24,7 +24,7 @@
         , m_random(seed)
     {
         for (std::size_t i = 0; i < gateways; ++i)
-            m_gateways.push_back(Gateway { SharedRetryBudget(m_settings) });
+            m_gateways.push_back({ SharedRetryBudget(m_settings), 0, 0, {}, {} });
         spread(1);
         reportNumbers();
     }
