--- a/src/request/fleet/SharedRetryBudget.cpp
+++ b/src/request/fleet/SharedRetryBudget.cpp
@@ -43,10 +43,8 @@
 {
     auto age = m_startedAt ? now - *m_startedAt : Duration::zero();
     bool isYoung = age < m_settings.window + arrivalDelay();
-    if (!isYoung)
-        return slackFraction * m_settings.slack / m_gateways.value() - account.usedSlackSum;
-    auto earned = slackFractionAfterStart * toSeconds(age) / toSeconds(m_settings.window);
-    return earned * m_settings.slack / std::max(m_gateways.value(), GatewayCount::assumed) - account.usedSlackSum;
+    auto fraction = isYoung ? slackFractionAfterStart * toSeconds(age) / toSeconds(m_settings.window) : slackFraction;
+    return fraction * m_settings.slack / m_gateways.value() - account.usedSlackSum;
 }
 
 double SharedRetryBudget::remaining(const std::string& service, Instant now)
