What follows a refused prefill takes a retry, not the prefill itself

A prefill took a retry when it was sent and put it back when it was accepted. A refused prefill is the first call of its request, so nothing is beyond the first until another call follows: that takes a retry, or the request is refused as not run. As strict, and prefills in progress are no risk.

--- a/src/request/fleet/SharedRetryBudget.cpp
+++ b/src/request/fleet/SharedRetryBudget.cpp
@@ -53,52 +53,32 @@
     return account.paidSum + std::max(0.0, slackLeft(account, now));
 }
 
-/// Takes up to one retry from what requests have paid, the oldest first.
-void SharedRetryBudget::takePaid(Account& account, RetryCharge& charge)
+/// Takes up to one retry from what requests have paid, the oldest first. \returns how much.
+double SharedRetryBudget::takePaid(Account& account)
 {
-    if (account.paid.empty())
-        return;
-    charge.requestsAt = account.paid.front().at;
-    while (!account.paid.empty() && charge.fromRequests < 1) {
+    double taken = 0;
+    while (!account.paid.empty() && taken < 1) {
         auto& oldest = account.paid.front();
-        auto part = std::min(oldest.amount, 1 - charge.fromRequests);
-        charge.fromRequests += part;
+        auto part = std::min(oldest.amount, 1 - taken);
+        taken += part;
         oldest.amount -= part;
         account.paidSum -= part;
         if (oldest.amount <= 0)
             account.paid.pop_front();
     }
+    return taken;
 }
 
-std::optional<RetryCharge> SharedRetryBudget::take(const std::string& service, Instant now, double kept)
+bool SharedRetryBudget::take(const std::string& service, Instant now)
 {
-    if (remaining(service, now) < 1 + kept)
-        return std::nullopt;
+    if (remaining(service, now) < 1)
+        return false;
     auto& account = currentAccount(service, now);
-    RetryCharge charge;
-    takePaid(account, charge);
-    charge.fromSlack = 1 - charge.fromRequests;
-    if (charge.fromSlack > 0) {
-        charge.slackAt = now;
-        account.usedSlack.push_back({ now, charge.fromSlack });
-        account.usedSlackSum += charge.fromSlack;
-    }
-    return charge;
-}
-
-void SharedRetryBudget::putBack(const std::string& service, const RetryCharge& charge, Instant now)
-{
-    auto& account = currentAccount(service, now);
-    if (charge.fromRequests > 0) {
-        account.paid.push_front({ charge.requestsAt, charge.fromRequests });
-        account.paidSum += charge.fromRequests;
-    }
-    auto isThisOne = [&charge](const Amount& used) { return used.at == charge.slackAt && used.amount == charge.fromSlack; };
-    if (auto it = std::find_if(account.usedSlack.begin(), account.usedSlack.end(), isThisOne);
-        charge.fromSlack > 0 && it != account.usedSlack.end()) {
-        account.usedSlackSum -= it->amount;
-        account.usedSlack.erase(it);
+    if (auto fromSlack = 1 - takePaid(account); fromSlack > 0) {
+        account.usedSlack.push_back({ now, fromSlack });
+        account.usedSlackSum += fromSlack;
     }
+    return true;
 }
 
 std::map<std::string, double> SharedRetryBudget::remainingByService(Instant now)
--- a/src/request/fleet/SharedRetryBudget.h
+++ b/src/request/fleet/SharedRetryBudget.h
@@ -33,14 +33,6 @@
     Duration window = 10s;
 };
 
-/// What one call has taken from the budget.
-struct RetryCharge {
-    double fromRequests = 0;
-    Instant requestsAt; ///< When the oldest of the requests that paid for it was counted.
-    double fromSlack = 0;
-    Instant slackAt; ///< When it was taken from the slack.
-};
-
 class SharedRetryBudget {
 public:
     explicit SharedRetryBudget(RetryBudgetSettings settings = {})
@@ -50,10 +42,8 @@
     }
 
     void countRequest(const std::string& service, Instant now);
-    /// Takes one retry from the budget. \param kept how many must be left afterwards. \returns nothing if the budget doesn't allow it.
-    std::optional<RetryCharge> take(const std::string& service, Instant now, double kept = 0);
-    /// Puts back what was taken for a call that turned out not to be a retry.
-    void putBack(const std::string& service, const RetryCharge&, Instant now);
+    /// Takes one retry from the budget. \returns false if the budget doesn't allow it.
+    bool take(const std::string& service, Instant now);
     /// The number of retries that remain now.
     [[nodiscard]] double remaining(const std::string& service, Instant now);
     [[nodiscard]] std::map<std::string, double> remainingByService(Instant now);
@@ -85,7 +75,7 @@
     [[nodiscard]] Duration arrivalDelay() const { return m_settings.window / arrivalDelayDivisor; }
     static void dropBefore(std::deque<Amount>&, double& sum, Instant);
     [[nodiscard]] double slackLeft(const Account&, Instant now) const;
-    static void takePaid(Account&, RetryCharge&);
+    static double takePaid(Account&);
 
     RetryBudgetSettings m_settings;
     GatewayCount m_gateways;
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -167,11 +167,8 @@
     endCall(*flow, event.mayHaveRun ? CallOutcome::Failed : CallOutcome::Unreachable, now);
     if (event.mayHaveRun)
         noteCrash(*flow, now);
-    if (flow->stage == Flow::Stage::Prefilling) {
-        if (!event.mayHaveRun)
-            refundPrefill(*flow, now);
+    if (flow->stage == Flow::Stage::Prefilling)
         return retryPrefillOrRun(*flow, !event.mayHaveRun, now);
-    }
     if (!event.mayHaveRun)
         restoreKvSource(*flow);
     resendOrFail(*flow, event.mayHaveRun, event.reason, now);
@@ -208,10 +205,10 @@
     return flow.runs < flow.route->maxAttempts;
 }
 
-/// Takes a retry from the budget. The last one is left for the prefills of others, which are only charged if they are refused.
+/// Takes a retry from the budget.
 bool ForwardLogic::takeRetry(const Flow& flow, Instant now)
 {
-    bool isTaken = m_budget.take(flow.service, now, engineRule(flow) ? retriesKeptForPrefills : 0).has_value();
+    bool isTaken = m_budget.take(flow.service, now);
     if (isTaken)
         ++m_retryCounts.taken;
     else
--- a/src/request/forward/ForwardFlow.h
+++ b/src/request/forward/ForwardFlow.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include "request/fleet/CrashTracker.h"
-#include "request/fleet/SharedRetryBudget.h"
 #include "request/forward/ForwardEffects.h"
 #include "request/forward/ForwardEvents.h"
 #include "request/forward/ReservationQueue.h"
@@ -61,8 +60,6 @@
     std::optional<forward::KvCacheSource> kvSource;
     Instant kvSourceExpiresAt;
     std::optional<forward::KvCacheSource> sentKvSource; ///< Sent with the current call; the replica fetches it if it runs the call.
-    std::optional<RetryCharge> prefillCharge; ///< For the prefill in progress, in case that it is refused.
-    bool hasPrefilled = false; ///< A replica has accepted a prefill. Further ones are retries.
     std::optional<PeerId> prefillSidecar; ///< The sidecar of the replica that runs the prefill now.
     ReplicaRun prefillReplica; ///< The prefill replica that has read the prompt.
     std::string prefillReplicaAddress;
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -79,8 +79,6 @@
     static constexpr Duration minOverloadRetryAfter = 2500ms;
     /// For how long gateways that have ended may still have calls in progress.
     static constexpr Duration gatewayMemory = 10s;
-    /// So many retries are left for the first prefills of other requests. Each one takes a retry until it is accepted.
-    static constexpr double retriesKeptForPrefills = 1;
     /// Maximum number of sends of one request, including those that a replica did not run.
     static constexpr std::uint32_t maxSends = 4;
 
@@ -105,7 +103,7 @@
         std::uint64_t refusedPrefills = 0;
         std::uint64_t otherReplicas = 0; ///< Calls that reached another replica than the one they were for.
         std::uint64_t taken = 0; ///< Calls that were sent again.
-        std::uint64_t notAllowed = 0; ///< Calls that were not sent again, and prefills that were not sent, for lack of budget.
+        std::uint64_t notAllowed = 0; ///< Calls that were not sent again for lack of budget.
     };
     [[nodiscard]] const RetryCounts& retryCounts() const { return m_retryCounts; }
     [[nodiscard]] std::uint64_t documentVersion() const { return m_table ? m_table->version() : 0; }
@@ -209,7 +207,6 @@
     bool prefill(Flow&, Instant);
     void retryPrefillOrRun(Flow&, bool mayRetry, Instant);
     bool repeatPrefill(Flow&, Instant);
-    void refundPrefill(Flow&, Instant);
     void restoreKvSource(Flow&);
     // Requests that crash replicas (ForwardCrashes.cpp).
     void noteCrash(const Flow&, Instant);
--- a/src/request/forward/ForwardReplicas.cpp
+++ b/src/request/forward/ForwardReplicas.cpp
@@ -131,9 +131,9 @@
         endSidecarReservation(flow, false);
         return requeue(flow);
     }
-    // A run that has ended doesn't count towards the route's attempts. It may have refused the prefill, so that stays charged.
-    flow.prefillCharge.reset();
-    retryPrefillOrRun(flow, true, now);
+    // A run that has ended doesn't count towards the route's attempts, but the call to it has cost the service work, so another prefill
+    // must fit into the retry budget.
+    retryPrefillOrRun(flow, takeRetry(flow, now), now);
 }
 
 // --- Replicas that change their software ------------------------------------------------------------------------
--- a/src/request/forward/ForwardReservations.cpp
+++ b/src/request/forward/ForwardReservations.cpp
@@ -207,18 +207,12 @@
         criteria.preferredZone = m_replicas.zoneOf(flow.reservation->replica);
     criteria.cacheTokens = rule->engine.cacheTokens;
     criteria.maxCalls = callLimit(rule);
-    // A refused prefill counts as a retry, so each one is charged before it is sent. After a restart of the whole site, the gateways know
-    // many replicas that have restarted under other ids. The last retry is not spent on finding that out.
-    auto retriesLeft = m_budget.remaining(flow.service, now);
-    if (retriesLeft < 1) {
-        recordRetryNotAllowed(flow, now);
-        return false;
-    }
-    criteria.excludeOverdue = retriesLeft < 1 + retriesKeptForPrefills;
+    // What follows a refused prefill is a retry. After a restart of the whole site, the gateways know many replicas that have restarted
+    // under other ids, and each one is found out by a refusal.
+    criteria.excludeOverdue = m_budget.remaining(flow.service, now) < 1;
     auto choice = choose(flow, criteria, flow.triedPrefillReplicas, now);
     if (!choice)
         return false;
-    flow.prefillCharge = m_budget.take(flow.service, now);
     flow.stage = Flow::Stage::Prefilling;
     flow.triedPrefillReplicas.insert(choice->run);
     startCall(flow, *choice, now);
@@ -241,9 +235,6 @@
     if (!flow)
         return;
     endCall(*flow, CallOutcome::Served, now);
-    // The first prefill that a replica accepts is no retry.
-    if (!std::exchange(flow->hasPrefilled, true))
-        refundPrefill(*flow, now);
     m_engineLoad.recordPrefill(flow->service, flow->request.promptTokens, now - flow->sentAt);
     m_effects.push_back(LogEvent {
         EventCode::PrefillFinished, flow->id, toString(flow->replica) + " after " + std::to_string((now - flow->sentAt) / 1ms) + " ms" });
@@ -264,16 +255,12 @@
     m_retryCounts.otherReplicas += event.isMisdirected;
     m_effects.push_back(LogEvent { EventCode::RequestRetried, flow->id,
         toString(flow->replica) + (event.isMisdirected ? " is another replica, asked for a prefill" : " refused the prefill") });
+    // The refused prefill was the request's first call at the service, so whatever follows is a retry.
+    if (event.wasNotAccepted && !takeRetry(*flow, now))
+        return refuse(*flow, ResultCode::Overloaded, "a replica refused the prefill, and the retry budget is used up", now);
     retryPrefillOrRun(*flow, event.wasNotAccepted && flow->triedPrefillReplicas.size() < maxPrefillReplicas, now);
 }
 
-/// Puts back what was charged for a prefill that no replica has refused.
-void ForwardLogic::refundPrefill(Flow& flow, Instant now)
-{
-    if (auto charge = std::exchange(flow.prefillCharge, std::nullopt))
-        m_budget.putBack(flow.service, *charge, now);
-}
-
 /// Retries a prefill at another replica if it certainly wasn't accepted or its replica has ended (mayRetry). A prefill that may have
 /// been accepted isn't retried: a second one would count as an attempt, and routes whose requests may run only once have no other. The
 /// decode replica then runs the prefill itself, which is slower and delays the streams that run there.
@@ -290,7 +277,7 @@
 bool ForwardLogic::repeatPrefill(Flow& flow, Instant now)
 {
     bool isNeeded = std::exchange(flow.hasLostKvCache, false) && !flow.hasStreamStarted;
-    return isNeeded && prefill(flow, now);
+    return isNeeded && takeRetry(flow, now) && prefill(flow, now);
 }
 
 // --- Load reports -----------------------------------------------------------------------------------------------
