What a replica says of itself in a 421 isn't said of the replica that the call was for

Found on reading: a replica that leaves and has got the address of another one made the gateway leave the other one alone for good, also if that was the announcement of a replica that runs on.

--- a/src/request/forward/ForwardRests.cpp
+++ b/src/request/forward/ForwardRests.cpp
@@ -18,6 +18,9 @@
 void ForwardLogic::observeAnswer(const ReplicaRun& run, const AnswerMetadata& metadata, Instant calledAt, Instant now)
 {
     observeLimit(run, metadata.rateLimit, calledAt, now);
+    // Another replica speaks of itself.
+    if (metadata.isMisdirected)
+        return;
     if (metadata.isLeaving && m_replicas.noteLeaving(run))
         m_effects.push_back(LogEvent { EventCode::UpstreamLeaves, {}, toString(run) + " says in an answer that it leaves" });
     if (!metadata.rest)
--- a/test/correctness/ReplicaRestTest.cpp
+++ b/test/correctness/ReplicaRestTest.cpp
@@ -220,6 +220,21 @@
     CHECK(bench.only<Refuse>().error.code == ResultCode::NoUpstream);
 }
 
+TEST_CASE("a replica that leaves doesn't speak for the one that had its address")
+{
+    Bench bench;
+    bench.serve().replica("a");
+    bench.submit("/often/x");
+    auto send = bench.only<Send>();
+    AnswerMetadata other;
+    other.status = 421;
+    other.wasNotRun = other.isMisdirected = other.isLeaving = true;
+    bench.post(AnswerHead { send.id, send.attempt, other, {} });
+    bench.post(AnswerEnd { send.id, send.attempt });
+    bench.now += 5s;
+    CHECK(callsTo(bench, "a") > 0);
+}
+
 TEST_CASE("a rest is read from a positive number of seconds and nothing else")
 {
     auto read = [](const std::string& value) { return readRetryAfter({ { "Retry-After", value } }); };
