--- a/src/request/fleet/SharedRetryBudget.h
+++ b/src/request/fleet/SharedRetryBudget.h
@@ -5,8 +5,8 @@
  * requests plus a fixed slack. A gateway knows only its own requests, and a process that has just started doesn't know what the one before
  * it sent. The limit holds all the same, whatever the demand, wherever callers go and however often processes start:
  *
- * - Each request pays for half of `ratio` retries, once, for less than a window. The retries of a window are so paid by the requests of
- *   that window and the one before, which are at most twice the requests of the larger one.
+ * - Each request pays for half of `ratio` retries, once, for less than a window. So the requests of a window and of the one before,
+ *   at most twice those of the larger one, pay for the retries of the window.
  * - Of its share of the slack, a process uses four fifths in any window. Until it is older than a window, it uses only what its time since
  *   the start is worth, at less than a fifth in a window. However often a gateway starts again, its processes use no more than its share.
  *
--- a/test/correctness/ReplicaRestTest.cpp
+++ b/test/correctness/ReplicaRestTest.cpp
@@ -42,7 +42,7 @@
     return calls;
 }
 
-/// Makes the replica turn a request away. It is the only one that can be chosen for the request.
+/// The replica turns away a call that the gateway makes for itself.
 void askForRest(Bench& bench, const std::string& id, Duration rest)
 {
     bench.post(ReplicaAnswered { { id, {} }, turnedAway(rest), bench.now });
--- a/test/support/RetryFleet.h
+++ b/test/support/RetryFleet.h
@@ -13,7 +13,7 @@
 
 namespace wrenhinge::retries {
 
-/// How the requests of one step are spread over the gateways, and what fails.
+/// Gateways, their callers and what fails, in steps of virtual time.
 class Fleet {
 public:
     static constexpr Duration step = 100ms;
