A request that may have run is not refused as not run when its second prefill is refused without budget

Callers would have been told 503 "not run" of a request whose first call may have run, and would have sent it again. Cause: refuses a request whose prefill was refused when no retry is left, whatever came before; a prefill is repeated after a run that failed. Found on reading the change again. Such a request is answered 502, as where no replica is left.

--- a/src/request/forward/ForwardReservations.cpp
+++ b/src/request/forward/ForwardReservations.cpp
@@ -256,8 +256,10 @@
     m_effects.push_back(LogEvent { EventCode::RequestRetried, flow->id,
         toString(flow->replica) + (event.isMisdirected ? " is another replica, asked for a prefill" : " refused the prefill") });
     // The refused prefill was the request's first call at the service, so whatever follows is a retry.
-    if (event.wasNotAccepted && !takeRetry(*flow, now))
-        return refuse(*flow, ResultCode::Overloaded, "a replica refused the prefill, and the retry budget is used up", now);
+    if (event.wasNotAccepted && !takeRetry(*flow, now)) {
+        auto code = flow->runs ? ResultCode::UpstreamFailed : ResultCode::Overloaded;
+        return refuse(*flow, code, "a replica refused the prefill, and the retry budget is used up", now);
+    }
     retryPrefillOrRun(*flow, event.wasNotAccepted && flow->triedPrefillReplicas.size() < maxPrefillReplicas, now);
 }
 
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -486,6 +486,27 @@
     CHECK(!bench.only<Refuse>().error.retryAfter);
 }
 
+TEST_CASE("a request that may have run is not refused as not run when its second prefill is refused and the retry budget is used up")
+{
+    Bench bench;
+    bench.serve().replica("d", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill);
+    auto first = bench.run(bench.submit("/resumable/x"));
+    bench.restart("p", UpstreamKind::Prefill);
+    bench.replica("e", UpstreamKind::Decode);
+    bench.post(CallFailed { first.id, first.attempt, true, "reset" });
+    auto second = bench.only<Send>();
+    REQUIRE(second.isPrefill);
+    while (bench.logic().retryBudget(bench.now).at("engine") >= 1) {
+        auto id = bench.submit("/stream/x");
+        bench.post(ReservationGranted { id, bench.only<ReserveAtReplica>().attempt, "reservation-1" });
+        bench.post(PrefillFailed { id, bench.only<Send>().attempt, true, false });
+        bench.post(CallerDisconnected { id });
+    }
+    bench.post(PrefillFailed { second.id, second.attempt, true, false });
+    CHECK(bench.only<Refuse>().error.code == ResultCode::UpstreamFailed);
+    CHECK(!bench.only<Refuse>().error.retryAfter);
+}
+
 TEST_CASE("a retry copies the KV cache that the prefill replica still holds, as long as that replica is ready")
 {
     // Guards against streams at a decode replica that stall for 0.3 s and more.
