What is known of a replica's run is looked up in one place

Four functions of ReplicaTable had the same look-up of a run's load; findLoad serves them. RetryFleet::retries was never called.

--- a/src/request/forward/ReplicaTable.cpp
+++ b/src/request/forward/ReplicaTable.cpp
@@ -81,7 +81,8 @@
     const auto& entries = m_registry.entries();
     return std::any_of(entries.begin(), entries.end(), [&](const auto& item) {
         const auto& announcement = item.second.announcement;
-        return serves(announcement, criteria) && !hasSaidItLeaves(announcement.run());
+        const auto* load = findLoad(announcement.run());
+        return serves(announcement, criteria) && !(load && load->isLeaving);
     });
 }
 
@@ -190,15 +191,14 @@
 
 bool ReplicaTable::takesCalls(const ReplicaRun& run, Instant now) const
 {
-    auto it = m_loads.find(run);
-    bool isWithdrawn = it != m_loads.end() && (it->second.isLeaving || it->second.restsUntil > now);
-    return isReady(run) && !isWithdrawn;
+    const auto* load = findLoad(run);
+    return isReady(run) && !(load && (load->isLeaving || load->restsUntil > now));
 }
 
-bool ReplicaTable::hasSaidItLeaves(const ReplicaRun& run) const
+const ReplicaTable::Load* ReplicaTable::findLoad(const ReplicaRun& run) const
 {
     auto it = m_loads.find(run);
-    return it != m_loads.end() && it->second.isLeaving;
+    return it == m_loads.end() ? nullptr : &it->second;
 }
 
 void ReplicaTable::noteRest(const ReplicaRun& run, Instant until)
@@ -221,13 +221,12 @@
 {
     std::optional<Instant> first;
     for (const auto& [id, entry] : m_registry.entries()) {
-        auto it = m_loads.find(entry.announcement.run());
-        bool isKnown = it != m_loads.end();
-        if (!serves(entry.announcement, criteria) || (isKnown && it->second.isLeaving))
+        const auto* load = findLoad(entry.announcement.run());
+        if (!serves(entry.announcement, criteria) || (load && load->isLeaving))
             continue;
-        if (!isKnown || it->second.restsUntil <= now)
+        if (!load || load->restsUntil <= now)
             return std::nullopt;
-        first = std::min(first.value_or(Instant::max()), it->second.restsUntil);
+        first = std::min(first.value_or(Instant::max()), load->restsUntil);
     }
     return first;
 }
--- a/src/request/forward/ReplicaTable.h
+++ b/src/request/forward/ReplicaTable.h
@@ -124,7 +124,8 @@
 private:
     [[nodiscard]] static bool serves(const Announcement&, const Criteria&);
     [[nodiscard]] double costOf(const ReplicaRegistry::Entry&, const Load&, const EngineHeadroomTable::Headroom*, const Criteria&) const;
-    [[nodiscard]] bool hasSaidItLeaves(const ReplicaRun&) const;
+    /// What is known of a run; nullptr: nothing yet.
+    [[nodiscard]] const Load* findLoad(const ReplicaRun&) const;
     [[nodiscard]] bool isSuspect(const ReplicaRegistry::Entry&, const Load&, Instant now) const;
 
     std::string m_zone;
--- a/test/support/RetryFleet.h
+++ b/test/support/RetryFleet.h
@@ -80,7 +80,6 @@
         }
         return worst;
     }
-    [[nodiscard]] double retries() const { return sum(m_retries, 0, m_retries.size()); }
 
 private:
     /// A retry arrives at its replica at most this long after the decision.
