Times of announcements follow from the interval in which replicas announce themselves

The times by which a replica is overdue, silent, fresh in a heartbeat or restored from disk were written down for an announcement each 1.2 s, and a site with another interval got the same.

Now they are functions of the interval (AnnouncementTimes), which is a setting of gateways and controllers. At 1.2 s they are what they were: 2.4, 4.5, 1.6 and 2.5 s. The pause after a call that reached another replica (2 s, until its next announcement) and the delay after which a replica is known to have outlived a crash follow too.

--- a/src/process/ControlServer.h
+++ b/src/process/ControlServer.h
@@ -56,15 +56,17 @@
     /// A controller that lags behind the leader sends a change against a version that the leader has replaced. It catches up with the
     /// next heartbeat, after at most 120 ms, unless changes are more frequent than that. After this many attempts the whole text is sent.
     static constexpr int maxDeltaAttempts = 3;
-    /// On a kept-alive connection, a replica announces itself about once a second.
+    /// A kept-alive connection is closed if neither an operator nor a replica calls for this long, or for so many of the intervals in which
+    /// replicas announce themselves.
     static constexpr Duration idleTime = 10s;
+    static constexpr int idleAnnouncements = 3;
 
     explicit ControlServer(ControllerRole& role)
         : m_role(role)
         , m_server(role.strand(), [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { handle(request, std::move(answer)); })
     {
         HttpServer::Limits limits;
-        limits.idleTime = idleTime;
+        limits.idleTime = std::max(idleTime, idleAnnouncements * role.registrar().registry().times().interval());
         limits.bodyBytes = bodyLimit;
         m_server.setLimits(limits);
     }
--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -61,7 +61,7 @@
               [this](PeerId peer, Message&& message) { onMessage(peer, std::move(message)); },
               [this] { return m_runtime.log().stampSend(); }, [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); },
               runtime.refusals().linkHandler() })
-    , m_registrar(m_strand, m_hub, runtime.log())
+    , m_registrar(m_strand, m_hub, runtime.log(), settings.announcements)
     , m_crashRelay(m_strand, m_hub, runtime.log(), m_registrar.registry())
     , m_quotaRelay(m_strand, m_hub)
     , m_limitRelay(m_strand, m_hub, m_registrar.registry())
--- a/src/process/Registrar.cpp
+++ b/src/process/Registrar.cpp
@@ -13,13 +13,14 @@
         || std::holds_alternative<RegistryRequest>(message) || std::holds_alternative<RegistryList>(message);
 }
 
-Registrar::Registrar(Strand strand, PeerHub& hub, EventLog& log, Duration countDelay)
+Registrar::Registrar(Strand strand, PeerHub& hub, EventLog& log, AnnouncementTimes times, Duration countDelay)
     : m_strand(std::move(strand))
     , m_hub(hub)
     , m_log(log)
     , m_timer(m_strand)
     , m_queryTimer(m_strand)
     , m_gatewayCountDelay(countDelay)
+    , m_registry(times)
 {
 }
 
@@ -27,7 +28,7 @@
 {
     m_countsGatewaysFrom = currentInstant() + m_gatewayCountDelay;
     for (const auto& announcement : restored)
-        m_registry.announce(announcement, restoredAge, currentInstant());
+        m_registry.announce(announcement, m_registry.times().restoredAge(), currentInstant());
     sendHeartbeats();
 }
 
--- a/src/process/Registrar.h
+++ b/src/process/Registrar.h
@@ -26,17 +26,14 @@
     /// Interval of the heartbeats. A gateway considers a replica stale after several intervals without renewal.
     static constexpr Duration heartbeatInterval = 1s;
 
-    /// Initial age of a replica restored from disk: it is used immediately, and considered stale 2 s later unless it announces itself,
-    /// which takes one announcement interval of 1.2 s plus a few hundred ms.
-    static constexpr Duration restoredAge = 2500ms;
-
     /// A controller that has just started is connected to only some of the gateways. If it sent their number, each would use too large a
     /// share of the common budget for calls beyond the first ones. After this time, several times the longest pause between connection
     /// attempts, all gateways have connected.
     static constexpr Duration gatewayCountDelay = 5s;
 
+    /// \param times of the replicas' announcements.
     /// \param countDelay for how long after `start` the heartbeats contain no number of gateways.
-    Registrar(Strand, PeerHub&, EventLog&, Duration countDelay = gatewayCountDelay);
+    Registrar(Strand, PeerHub&, EventLog&, AnnouncementTimes times = AnnouncementTimes(), Duration countDelay = gatewayCountDelay);
 
     /// \param restored replicas known before this process started.
     void start(const std::vector<Announcement>& restored);
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -104,6 +104,16 @@
         return value;
     }
 
+    Result<AnnouncementTimes> parseAnnouncementInterval(const std::string& text)
+    {
+        auto value = parseDuration(text);
+        if (!value)
+            return value.error();
+        if (value.value() < AnnouncementTimes::shortestInterval || value.value() > AnnouncementTimes::longestInterval)
+            return settingsError("'" + text + "' is out of range: write a duration from 100ms to 15s");
+        return AnnouncementTimes(value.value());
+    }
+
     Result<double> parseRatio(const std::string& text)
     {
         char* end = nullptr;
@@ -223,6 +233,7 @@
             root.required("listen", settings.listen, parseAddress);
         else
             root.optional("listen", settings.listen, parseAddress);
+        root.optional("announcement-interval", settings.announcements, parseAnnouncementInterval);
         root.optional("controller-port", settings.controllerPort, parsePositive);
         if (settings.role == Role::Gateway) {
             readCallers(root.child("callers"), settings.callers);
--- a/src/process/Settings.h
+++ b/src/process/Settings.h
@@ -9,6 +9,7 @@
 #include "connection/CallerSettings.h"
 #include "message/Messages.h"
 #include "request/fleet/AccountQuota.h"
+#include "request/fleet/AnnouncementTimes.h"
 #include "request/fleet/SharedRetryBudget.h"
 
 #include <optional>
@@ -78,6 +79,7 @@
     CallerSettings callers;
     RetryBudgetSettings retries;
     QuotaSettings quotas;
+    AnnouncementTimes announcements; ///< Of replicas that announce themselves to the controllers.
     std::uint32_t controllerPort = 0; ///< If not zero, the peer port of all controllers; replaces the port in their addresses.
     std::uint32_t sidecarPort = 0; ///< Gateways: the port of an engine's sidecar on the engine's machine. Zero: no sidecars.
     UpstreamSettings upstream;
--- a/src/request/fleet/CrashTracker.cpp
+++ b/src/request/fleet/CrashTracker.cpp
@@ -151,7 +151,9 @@
 
 void CrashTracker::dropRefuted(const ReplicaRegistry& registry, Instant now)
 {
-    auto isRefuted = [&registry](const Crash& crash) {
+    // Heartbeats may report a run as fresher than it is by `assumedAge`, and an announcement may have been in flight.
+    auto refutationDelay = registry.times().freshFor();
+    auto isRefuted = [&registry, refutationDelay](const Crash& crash) {
         const auto* entry = registry.find(crash.run);
         return entry && entry->lastHeardAt - crash.at > refutationDelay;
     };
--- a/src/request/fleet/CrashTracker.h
+++ b/src/request/fleet/CrashTracker.h
@@ -69,9 +69,6 @@
     static constexpr Duration longestConviction = 1h;
     /// Content is removed this long after its last crash, its last answer or the end of its conviction, whichever is latest.
     static constexpr Duration retentionPeriod = 10min;
-    /// A replica from which something was received this long after a crash did not crash. The delay is needed since heartbeats may report
-    /// a run as fresher than it is by half of `ReplicaRegistry::freshFor`, and an announcement may have been in flight.
-    static constexpr Duration refutationDelay = ReplicaRegistry::freshFor;
     /// Times observed by different processes are compared by the ages in messages, so differences below a message's latency say nothing
     /// about their order.
     static constexpr Duration messageDelayTolerance = 50ms;
--- a/src/request/fleet/ReplicaRegistry.cpp
+++ b/src/request/fleet/ReplicaRegistry.cpp
@@ -41,7 +41,7 @@
             m_withdrawn.insert_or_assign(run.id, EndedRun { known->start, now });
         invalidateDigest();
         // Replaces the entry, since neither a stage change nor a renewal of the former run applies to the new one.
-        insert({ announcement, now - age, {}, {} });
+        insert({ announcement, now - age, {}, {}, m_times });
         return known ? Change::Restarted : Change::Changed;
     }
     auto& entry = m_entries.at(run.id);
@@ -137,7 +137,7 @@
     if (heartbeat.digest && heartbeat.digest == digest()) {
         for (auto& [id, entry] : m_entries) {
             if (!heartbeat.ages.contains(id))
-                entry.lastHeardAt = std::max(entry.lastHeardAt, now - assumedAge);
+                entry.lastHeardAt = std::max(entry.lastHeardAt, now - m_times.assumedAge());
         }
     }
     auto distance = heartbeat.startOffsets.begin();
@@ -159,7 +159,7 @@
         return heartbeat;
     heartbeat.earliestStart = first->second.announcement.start;
     for (const auto& [id, entry] : m_entries) {
-        bool isRenewed = now - entry.lastHeardAt <= freshFor;
+        bool isRenewed = now - entry.lastHeardAt <= m_times.freshFor();
         if (scope == HeartbeatScope::Stale && isRenewed)
             continue;
         heartbeat.ages[id] = now - entry.lastHeardAt;
--- a/src/request/fleet/ReplicaRegistry.h
+++ b/src/request/fleet/ReplicaRegistry.h
@@ -20,6 +20,7 @@
 #pragma once
 
 #include "message/Messages.h"
+#include "request/fleet/AnnouncementTimes.h"
 
 #include <map>
 #include <optional>
@@ -31,17 +32,6 @@
 
 class ReplicaRegistry {
 public:
-    /// Replicas announce themselves every 1.2 s, and some announcements are seconds late. A replica from which three are missing is
-    /// considered unreachable.
-    static constexpr Duration silentAfter = 4500ms;
-    /// Something is received from a running replica within this time: two announcements of 1.2 s.
-    static constexpr Duration overdueAfter = 2400ms;
-    /// A run that was heard from within this time is left out of heartbeats to gateways that know it too: announcements come every 1.2 s,
-    /// and some are a few hundred ms late.
-    static constexpr Duration freshFor = 1600ms;
-    /// The age that the recipient of a heartbeat assumes for a run that was left out. It is wrong by at most 0.8 s, of the 4.5 s of
-    /// `silentAfter`.
-    static constexpr Duration assumedAge = freshFor / 2;
     /// An entry that was not renewed for this long is removed. Announcements are late by seconds, far less than this.
     static constexpr Duration expiredAfter = 60s;
     /// Withdrawn runs are kept for this long, so that no late announcement revives one.
@@ -52,12 +42,13 @@
         Instant lastHeardAt;
         std::optional<UpstreamKind> pendingStage; ///< The stage that the replica was ordered to change to and has not announced yet.
         Instant changeExpiresAt; ///< From then on the announced stage counts, whether or not the order was carried out.
+        AnnouncementTimes times {};
 
         [[nodiscard]] bool isChanging(Instant now) const { return pendingStage && changeExpiresAt > now; }
         /// An announcement is missing, so the replica may have crashed.
-        [[nodiscard]] bool isOverdue(Instant now) const { return now - lastHeardAt > overdueAfter; }
+        [[nodiscard]] bool isOverdue(Instant now) const { return now - lastHeardAt > times.overdueAfter(); }
         /// The replica is considered unreachable: it is neither persisted nor counted, and requests go to it only if there is no other.
-        [[nodiscard]] bool isSilent(Instant now) const { return now - lastHeardAt > silentAfter; }
+        [[nodiscard]] bool isSilent(Instant now) const { return now - lastHeardAt > times.silentAfter(); }
         [[nodiscard]] bool isExpired(Instant now) const { return now - lastHeardAt > expiredAfter; }
     };
     /// The newest run of an id that is known to have ended.
@@ -74,6 +65,12 @@
         Restarted, ///< This run supersedes the one that was known or withdrawn; state about that one must be discarded.
     };
 
+    explicit ReplicaRegistry(AnnouncementTimes times = AnnouncementTimes())
+        : m_times(times)
+    {
+    }
+
+    [[nodiscard]] const AnnouncementTimes& times() const { return m_times; }
     /// Applies an announcement that was sent `age` ago.
     Change announce(const Announcement&, Duration age, Instant now);
     /// Marks the run and those before it as ended. \returns whether that was new.
@@ -87,7 +84,7 @@
     /// which another replica had by then.
     enum class HeartbeatScope : std::uint8_t {
         All, ///< For controllers, which pass ages on.
-        Stale, ///< Only runs not heard from within `freshFor`; for gateways, which pass nothing on.
+        Stale, ///< Only runs not heard from within `AnnouncementTimes::freshFor`; for gateways, which pass nothing on.
     };
     /// A heartbeat that renews all entries at a process with the same digest.
     [[nodiscard]] RegistryHeartbeat heartbeat(HeartbeatScope, Instant now) const;
@@ -116,6 +113,7 @@
     void erase(std::map<std::string, Entry>::iterator);
     void removeFromAddress(const Announcement&);
 
+    AnnouncementTimes m_times;
     std::map<std::string, Entry> m_entries;
     std::unordered_map<std::string, std::vector<std::string>> m_idsAt; ///< The ids of the entries by address.
     mutable std::uint64_t m_digest = 0; ///< Cached; zero if it has to be computed again.
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -51,7 +51,7 @@
 
 ForwardLogic::ForwardLogic(Settings settings)
     : m_settings(std::move(settings))
-    , m_replicas(m_settings.zone, m_settings.seed, m_settings.name)
+    , m_replicas(m_settings.zone, m_settings.seed, m_settings.name, m_settings.announcements)
     , m_gateways(gatewayMemory)
     , m_budget(m_settings.budget)
     , m_quotas(m_settings.quotas, m_settings.name)
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -55,6 +55,7 @@
         RetryBudgetSettings budget;
         std::string name {}; ///< Of this gateway; the same after a restart.
         QuotaSettings quotas {};
+        AnnouncementTimes announcements {}; ///< Of replicas.
     };
 
     /// A document that no controller has confirmed takes effect after this long, so that a site that is cut off continues to serve.
--- a/src/request/forward/ReplicaTable.cpp
+++ b/src/request/forward/ReplicaTable.cpp
@@ -12,9 +12,6 @@
     constexpr Duration controllerTimeout = 3s;
     constexpr Duration minBackoff = 400ms;
     constexpr Duration maxBackoff = 6s;
-    /// A replica announces itself every 1.2 s, and an announcement takes up to 0.8 s to arrive. With a shorter pause of 0.4 s, a replica
-    /// that had changed its stage unnoticed, because it carried out an order late, refused 106 calls for 176 requests in 10 s.
-    constexpr Duration misdirectedPause = 2s;
     /// Weight of the newest call in the moving averages, which thus cover about the last ten calls.
     constexpr double newestWeight = 0.15;
     /// Estimated cost of the output of a call in progress, in prompt tokens.
@@ -160,7 +157,7 @@
         load.backoffUntil = now + (outcome == CallOutcome::Refused ? minBackoff : load.backoff);
         break;
     case CallOutcome::Misdirected:
-        load.misdirectedUntil = now + misdirectedPause;
+        load.misdirectedUntil = now + m_registry.times().nextWithin();
         break;
     case CallOutcome::Abandoned:
         break;
--- a/src/request/forward/ReplicaTable.h
+++ b/src/request/forward/ReplicaTable.h
@@ -67,9 +67,10 @@
     };
 
     /// \param gateway the name of this gateway, which is the same after a restart.
-    ReplicaTable(std::string zone, std::uint64_t seed, std::string gateway = {})
+    ReplicaTable(std::string zone, std::uint64_t seed, std::string gateway = {}, AnnouncementTimes times = AnnouncementTimes())
         : m_zone(std::move(zone))
         , m_random(seed)
+        , m_registry(times)
         , m_subset(std::move(gateway), m_zone)
     {
     }
--- a/test/correctness/EngineSubsetTest.cpp
+++ b/test/correctness/EngineSubsetTest.cpp
@@ -137,7 +137,7 @@
     auto registry = site(180);
     auto before = chosenBy(1, registry);
     // Half of the engines become silent, including most of the chosen ones.
-    auto later = start + ReplicaRegistry::silentAfter + 1s;
+    auto later = start + AnnouncementTimes().silentAfter() + 1s;
     for (int n = 0; n < 180; n += 2)
         registry.renew(engine(n, kindOf(n)).run(), Duration::zero(), later);
     auto after = chosenBy(1, registry, later);
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -1026,7 +1026,7 @@
         announcement.zone = "zone-1";
         announcement.slots = 6;
         announcement.kind = UpstreamKind::Prefill;
-        bench.post(RelayedAnnouncement { announcement, ReplicaRegistry::overdueAfter + 100ms });
+        bench.post(RelayedAnnouncement { announcement, AnnouncementTimes().overdueAfter() + 100ms });
     }
     auto allowed = bench.logic().retryBudget(bench.now)["engine"];
     int refused = 0;
--- a/test/correctness/RegistrarTest.cpp
+++ b/test/correctness/RegistrarTest.cpp
@@ -50,7 +50,7 @@
 public:
     explicit Link(Duration countsAfter)
     {
-        m_registrar = std::make_unique<Registrar>(boost::asio::make_strand(m_io), m_controller, m_log, countsAfter);
+        m_registrar = std::make_unique<Registrar>(boost::asio::make_strand(m_io), m_controller, m_log, AnnouncementTimes(), countsAfter);
         m_thread = std::thread([this] { m_io.run(); });
         m_gateway.dial(m_controller.listen("127.0.0.1:0").value());
     }
--- a/test/correctness/RegistryTest.cpp
+++ b/test/correctness/RegistryTest.cpp
@@ -119,7 +119,7 @@
     }
     for (const auto* registry : { &a, &b, &gateway }) {
         CHECK(registry->entries().at("i-0").isSilent(now));
-        CHECK(registry->entries().at("i-0").lastHeardAt <= start + ReplicaRegistry::assumedAge);
+        CHECK(registry->entries().at("i-0").lastHeardAt <= start + AnnouncementTimes().assumedAge());
     }
 }
 
--- a/test/correctness/RunTest.cpp
+++ b/test/correctness/RunTest.cpp
@@ -427,7 +427,7 @@
     CHECK(remembered.front().start == first);
     ReplicaRegistry registry;
     registry.announce(announcement(second, 1), 0s, start);
-    CHECK(registry.announce(remembered.front(), Registrar::restoredAge, start) == Change::None);
+    CHECK(registry.announce(remembered.front(), AnnouncementTimes().restoredAge(), start) == Change::None);
 }
 
 TEST_CASE("a list that a release without runs has written is read, as of runs before any other")
@@ -444,6 +444,6 @@
     CHECK(remembered.front().sequence == 40);
     CHECK(remembered.front().start == unsaid);
     ReplicaRegistry registry;
-    registry.announce(remembered.front(), Registrar::restoredAge, start);
+    registry.announce(remembered.front(), AnnouncementTimes().restoredAge(), start);
     CHECK(registry.announce(announcement(first, 1), 0s, start) == Change::Restarted);
 }
--- a/test/correctness/StageTest.cpp
+++ b/test/correctness/StageTest.cpp
@@ -408,7 +408,7 @@
         for (const auto* id : { "p1", "p2", "p3", "d1", "d2", "d3" })
             controller.registry().renew({ id, {} }, Duration(), controller.now);
         for (const auto* id : { "p4", "p5", "p6" })
-            controller.registry().renew({ id, {} }, ReplicaRegistry::overdueAfter + 100ms, controller.now);
+            controller.registry().renew({ id, {} }, AnnouncementTimes().overdueAfter() + 100ms, controller.now);
         controller.post(LoadReported { PeerId(7), { { { "llm", controller.busy } } } });
         controller.post(Tick {});
         isOrdering = isOrdering || !controller.effectsOf<ReadEngine>().empty();
--- a/test/error/SettingsErrorTest.cpp
+++ b/test/error/SettingsErrorTest.cpp
@@ -115,6 +115,9 @@
         { controller + "  losses-to-bear: 1\n", "f:11: controller.losses-to-bear: needs `seeds`" },
         { replaced(seeded, "bear: 2", "bear: two"), "f:10: controller.losses-to-bear" },
         { replaced(seeded, "bear: 2", "bear: -1"), "f:10: controller.losses-to-bear" },
+        { replaced(gateway, "zone: z\n", "zone: z\nannouncement-interval: 99ms\n"), "f:5: announcement-interval: '99ms' is out of range" },
+        { replaced(controller, "zone: z\n", "zone: z\nannouncement-interval: 16s\n"), "announcement-interval: '16s' is out of range" },
+        { replaced(gateway, "zone: z\n", "zone: z\nannouncement-interval: often\n"), "announcement-interval" },
         { replaced(seeded, "bear: 2", "bear: 11"), "controller.losses-to-bear: '11' is out of range: write a whole number from 0 to 10" },
     };
     return list;
