A gateway that does not know how many gateways there are uses no slack of the retry budget

Until a controller told a number, each gateway took its share for a hundredth. Controllers tell none in the first five seconds after their start, and none at all if none can be reached. What each request pays for is available from the start as before. A gateway that has just started had earned less than one retry of the slack by the time that a number comes, so callers lose nothing.

--- a/src/request/fleet/GatewayCount.h
+++ b/src/request/fleet/GatewayCount.h
@@ -38,6 +38,8 @@
         m_reportedAt = now;
     }
     [[nodiscard]] std::uint32_t value() const { return m_value; }
+    /// Nothing until a number is reported.
+    [[nodiscard]] std::optional<std::uint32_t> known() const { return m_reportedAt ? std::optional(m_value) : std::nullopt; }
 
 private:
     Duration m_memory;
--- a/src/request/fleet/SharedRetryBudget.cpp
+++ b/src/request/fleet/SharedRetryBudget.cpp
@@ -41,10 +41,12 @@
 
 double SharedRetryBudget::slackLeft(const Account& account, Instant now) const
 {
+    if (!m_gateways.known())
+        return 0;
     auto age = m_startedAt ? now - *m_startedAt : Duration::zero();
     bool isYoung = age < m_settings.window + arrivalDelay();
     auto fraction = isYoung ? slackFractionAfterStart * toSeconds(age) / toSeconds(m_settings.window) : slackFraction;
-    return fraction * m_settings.slack / m_gateways.value() - account.usedSlackSum;
+    return fraction * m_settings.slack / *m_gateways.known() - account.usedSlackSum;
 }
 
 double SharedRetryBudget::remaining(const std::string& service, Instant now)
--- a/src/request/fleet/SharedRetryBudget.h
+++ b/src/request/fleet/SharedRetryBudget.h
@@ -9,6 +9,7 @@
  *   at most twice those of the larger one, pay for the retries of the window.
  * - Of its share of the slack, a process uses four fifths in any window. Until it is older than a window, it uses only what its time since
  *   the start is worth, at less than a fifth in a window. However often a gateway starts again, its processes use no more than its share.
+ *   Until it knows how many gateways there are, it uses none.
  *
  * A retry is taken from the budget before it is sent.
  *
@@ -49,8 +50,8 @@
     [[nodiscard]] std::map<std::string, double> remainingByService(Instant now);
     /// Sets the number of gateways that share the limit, as a controller reports it.
     void setGateways(std::uint32_t n, Instant now);
-    /// The number of gateways that share the limit.
-    [[nodiscard]] std::uint32_t gateways() const { return m_gateways.value(); }
+    /// The number of gateways that share the limit; nothing if it is not known.
+    [[nodiscard]] std::optional<std::uint32_t> gateways() const { return m_gateways.known(); }
 
 private:
     /// A request that two windows of the limit contain pays in only one of them.
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -221,9 +221,10 @@
     ++m_retryCounts.notAllowed;
     std::array<char, 32> left {};
     std::snprintf(left.data(), left.size(), "%.2f", m_budget.remaining(flow.service, now));
+    auto gateways = m_budget.gateways();
     m_effects.push_back(LogEvent { EventCode::RetryNotAllowed, flow.id,
-        std::string(left.data()) + " retries left for " + flow.service + ", shared by " + std::to_string(m_budget.gateways())
-            + " gateways" });
+        std::string(left.data()) + " retries left for " + flow.service + ", shared by "
+            + (gateways ? std::to_string(*gateways) : "an unknown number of") + " gateways" });
 }
 
 /// Sends the request again if its route, the number of sends, the available replicas and the retry budget allow it.
--- a/test/failure/RetryBudgetTest.cpp
+++ b/test/failure/RetryBudgetTest.cpp
@@ -36,6 +36,25 @@
     }
 }
 
+TEST_CASE("gateways of a site of any size that start while no controller can be reached don't exceed the retry budget together")
+{
+    // Guards against a share of the slack that goes by an assumed number of gateways.
+    for (std::size_t gateways : { 361, 722 }) {
+        for (double load : { 30.0, 290.0 }) {
+            CAPTURE(gateways);
+            CAPTURE(load);
+            Fleet fleet(gateways, { 0.2, 1040, 10s }, 1);
+            fleet.load = load;
+            fleet.run(20s);
+            fleet.restartAll();
+            for (std::size_t i = 0; i < gateways; ++i)
+                fleet.cut(i, 30s);
+            fleet.run(40s);
+            CHECK(fleet.worst() <= 1);
+        }
+    }
+}
+
 TEST_CASE("callers that move from gateways which have retried to others don't raise the retry budget")
 {
     Fleet fleet(40, settings, 1);
