A message for several peers is encoded once, by one function of PeerHub

Registrar, CrashRelay, ReplicaLimitRelay, ControllerRole and ForwardPeers each copied the list of all peers with their names, and had each message encoded for each of them. When a controller linked, the addresses of all controllers were gathered once for each peer, from a copy of the list of all peers each time: with 370 peers 137,000 copies for each controller that links. PeerHub::broadcast does it once for all.

--- a/src/connection/PeerHub.cpp
+++ b/src/connection/PeerHub.cpp
@@ -1,6 +1,7 @@
 #include "connection/PeerHub.h"
 
 #include "connection/Endpoint.h"
+#include "message/Codec.h"
 
 #include <algorithm>
 
@@ -191,6 +192,23 @@
         m_sentBytes += link->send(message, m_handlers.stampSend());
 }
 
+void PeerHub::broadcast(const Message& message, const std::function<bool(const Hello&)>& includes)
+{
+    std::vector<std::shared_ptr<PeerLink>> links;
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto& [peer, hello] : m_hellos) {
+            if (includes(hello))
+                links.push_back(m_links.at(peer));
+        }
+    }
+    if (links.empty())
+        return;
+    auto encoded = encode(message);
+    for (const auto& link : links)
+        m_sentBytes += link->sendEncoded(encoded, m_handlers.stampSend());
+}
+
 std::vector<Hello> PeerHub::peers() const
 {
     std::lock_guard lock(m_mutex);
--- a/src/connection/PeerHub.h
+++ b/src/connection/PeerHub.h
@@ -45,6 +45,8 @@
     void leave(const std::string& address);
     /// Sends the message if the peer is connected, otherwise drops it.
     void send(PeerId, const Message&);
+    /// Sends the message to all connected peers that `includes` returns true for.
+    void broadcast(const Message&, const std::function<bool(const Hello&)>& includes);
     /// Sets the admin address that the Hello of later links contains.
     void setAdminAddress(const std::string&);
     /// The connected peers.
--- a/src/connection/PeerLink.cpp
+++ b/src/connection/PeerLink.cpp
@@ -142,9 +142,11 @@
     });
 }
 
-std::size_t PeerLink::send(const Message& message, HybridTime stamp)
+std::size_t PeerLink::send(const Message& message, HybridTime stamp) { return sendEncoded(encode(message), stamp); }
+
+std::size_t PeerLink::sendEncoded(const std::string& message, HybridTime stamp)
 {
-    auto bytes = frame(encode(message), stamp);
+    auto bytes = frame(message, stamp);
     auto n = bytes.size();
     sendBytes(std::move(bytes));
     return n;
--- a/src/connection/PeerLink.h
+++ b/src/connection/PeerLink.h
@@ -58,6 +58,8 @@
     void start(Handlers);
     /// Thread-safe. \param stamp is sent with the message, for the time line. \returns the size of the message in bytes.
     std::size_t send(const Message&, HybridTime stamp);
+    /// The same for a message that is encoded already.
+    std::size_t sendEncoded(const std::string& message, HybridTime stamp);
     [[nodiscard]] Side side() const { return m_side; }
     /// Bytes that were not passed to the operating system yet. Thread-safe.
     [[nodiscard]] std::size_t queuedBytes() const { return m_queuedBytes; }
--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -167,22 +167,21 @@
     m_limitRelay.peerUp(peer);
     if (!isDynamic())
         return;
-    sendRoster(peer.id);
-    if (peer.role != Role::Controller)
-        return;
-    for (const auto& other : m_hub.peers())
-        sendRoster(other.id);
+    if (peer.role == Role::Controller)
+        m_hub.broadcast(roster(), [](const Hello&) { return true; });
+    else
+        m_hub.send(peer.id, roster());
 }
 
 /// No setting lists all controllers. Each one sends its peers the addresses of the others, so that one reachable seed suffices.
-void ControllerRole::sendRoster(PeerId to)
+ControllerRoster ControllerRole::roster() const
 {
     ControllerRoster roster { { m_settings.listen } };
     for (const auto& peer : m_hub.peers()) {
         if (peer.role == Role::Controller)
             roster.addresses.push_back(peer.name);
     }
-    m_hub.send(to, roster);
+    return roster;
 }
 
 void ControllerRole::onMessage(PeerId peer, Message&& message)
--- a/src/process/ControllerRole.h
+++ b/src/process/ControllerRole.h
@@ -63,7 +63,7 @@
     void onMessage(PeerId, Message&&);
     void startRegistrar();
     void startCrashRelay();
-    void sendRoster(PeerId);
+    [[nodiscard]] ControllerRoster roster() const;
     [[nodiscard]] bool isDynamic() const { return !m_settings.controller.seeds.empty(); }
     [[nodiscard]] bool hasDisk() const { return !m_settings.controller.data.empty(); }
     std::uint64_t newTicket(ReplyCallback);
--- a/src/process/CrashRelay.cpp
+++ b/src/process/CrashRelay.cpp
@@ -33,8 +33,12 @@
 
 void CrashRelay::peerUp(const Hello& peer)
 {
-    if (peer.role != Role::Sidecar)
-        boost::asio::post(m_strand, [this, id = peer.id, role = peer.role] { send(id, m_exchange.snapshotFor(role, currentInstant())); });
+    if (peer.role == Role::Sidecar)
+        return;
+    boost::asio::post(m_strand, [this, id = peer.id, role = peer.role] {
+        if (auto known = m_exchange.snapshotFor(role, currentInstant()); !known.isEmpty())
+            m_hub.send(id, known);
+    });
 }
 
 void CrashRelay::receive(PeerId peer, const CrashReport& report)
@@ -50,16 +54,12 @@
         onChange(m_exchange.snapshotFor(Role::Gateway, now).crashes);
     for (const auto& content : updates.convicted)
         m_log.write({ EventCode::RequestCrashesReplicas, {}, m_exchange.tracker().text(content) });
-    for (const auto& peer : m_hub.peers()) {
-        if (peer.id != from && peer.role != Role::Sidecar)
-            send(peer.id, peer.role == Role::Controller ? updates.controllers : updates.gateways);
-    }
-}
-
-void CrashRelay::send(PeerId peer, const CrashReport& report)
-{
-    if (!report.isEmpty())
-        m_hub.send(peer, report);
+    auto sendToOthers = [this, from](Role role, const CrashReport& news) {
+        if (!news.isEmpty())
+            m_hub.broadcast(news, [from, role](const Hello& peer) { return peer.id != from && peer.role == role; });
+    };
+    sendToOthers(Role::Controller, updates.controllers);
+    sendToOthers(Role::Gateway, updates.gateways);
 }
 
 } // namespace wrenhinge
--- a/src/process/CrashRelay.h
+++ b/src/process/CrashRelay.h
@@ -31,7 +31,6 @@
 
 private:
     void handle(PeerId, const CrashReport&);
-    void send(PeerId, const CrashReport&);
     void check();
 
     Strand m_strand;
--- a/src/process/ForwardPeers.cpp
+++ b/src/process/ForwardPeers.cpp
@@ -81,9 +81,10 @@
 void ForwardPeers::execute(const forward::ReportQuotaUsage& usage)
 {
     const auto& report = usage.report;
-    sendToControllers([&report](PeerId to) {
-        return QuotaReport { report.uses, report.totalsSource == to, report.asksForAll, report.knownGateways };
-    });
+    for (const auto& peer : m_hub.peers()) {
+        if (peer.role == Role::Controller)
+            m_hub.send(peer.id, QuotaReport { report.uses, report.totalsSource == peer.id, report.asksForAll, report.knownGateways });
+    }
 }
 
 void ForwardPeers::execute(const forward::ReportReplicaLimits& report)
@@ -106,15 +107,7 @@
 
 void ForwardPeers::sendToControllers(const Message& message)
 {
-    sendToControllers([&message](PeerId) -> const Message& { return message; });
-}
-
-template <std::invocable<PeerId> F> void ForwardPeers::sendToControllers(F messageFor)
-{
-    for (const auto& peer : m_hub.peers()) {
-        if (peer.role == Role::Controller)
-            m_hub.send(peer.id, messageFor(peer.id));
-    }
+    m_hub.broadcast(message, [](const Hello& peer) { return peer.role == Role::Controller; });
 }
 
 } // namespace wrenhinge
--- a/src/process/ForwardPeers.h
+++ b/src/process/ForwardPeers.h
@@ -8,7 +8,6 @@
 #include "request/forward/ForwardEffects.h"
 #include "request/forward/ForwardEvents.h"
 
-#include <concepts>
 #include <optional>
 
 namespace wrenhinge {
@@ -47,8 +46,6 @@
 
 private:
     void sendToControllers(const Message&);
-    /// \param messageFor returns the message for the controller with this id.
-    template <std::invocable<PeerId> F> void sendToControllers(F messageFor);
 
     PeerHub& m_hub;
     std::uint32_t m_sidecarPort;
--- a/src/process/Registrar.cpp
+++ b/src/process/Registrar.cpp
@@ -172,10 +172,7 @@
 
 void Registrar::broadcast(const Message& message)
 {
-    for (const auto& peer : m_hub.peers()) {
-        if (peer.role != Role::Sidecar)
-            m_hub.send(peer.id, message);
-    }
+    m_hub.broadcast(message, [](const Hello& peer) { return peer.role != Role::Sidecar; });
 }
 
 RegistryHeartbeat Registrar::heartbeatFor(Role role, std::uint32_t gateways) const
@@ -196,12 +193,8 @@
     bool isCounting = currentInstant() >= m_countsGatewaysFrom;
     auto gateways = isCounting ? static_cast<std::uint32_t>(std::count_if(peers.begin(), peers.end(), isGateway)) : 0;
     m_recentGateways.report(gateways, currentInstant());
-    auto forGateways = heartbeatFor(Role::Gateway, gateways);
-    auto forControllers = heartbeatFor(Role::Controller, gateways);
-    for (const auto& peer : peers) {
-        if (peer.role != Role::Sidecar)
-            m_hub.send(peer.id, peer.role == Role::Gateway ? forGateways : forControllers);
-    }
+    for (auto role : { Role::Gateway, Role::Controller })
+        m_hub.broadcast(heartbeatFor(role, gateways), [role](const Hello& peer) { return peer.role == role; });
     m_timer.expires_after(heartbeatInterval);
     m_timer.async_wait([this](ErrorCode ec) {
         if (!ec)
--- a/src/process/ReplicaLimitRelay.cpp
+++ b/src/process/ReplicaLimitRelay.cpp
@@ -46,10 +46,8 @@
     if (news.empty())
         return;
     applyLimits();
-    for (const auto& peer : m_hub.peers()) {
-        if (peer.id != from && peer.role != Role::Sidecar)
-            m_hub.send(peer.id, ReplicaRateLimits { news });
-    }
+    m_hub.broadcast(
+        ReplicaRateLimits { std::move(news) }, [from](const Hello& peer) { return peer.id != from && peer.role != Role::Sidecar; });
 }
 
 void ReplicaLimitRelay::applyLimits()
