--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -1,6 +1,6 @@
 /** \file
- * The process role of a gateway that calls upstreams itself: it connects ForwardLogic to the callers' connections, the calls to replicas
- * (ForwardCalls), and connections to controllers.
+ * The process role of a gateway that calls upstreams itself: it connects ForwardLogic to the callers' connections (ForwardExchanges), the
+ * calls to replicas (ForwardCalls), and the other processes of this project (ForwardPeers).
  *
  * All request processing runs on one strand. Effects are executed after the logic's step has returned, never during it: a
  * connection that fails immediately would otherwise re-enter the logic.
@@ -12,6 +12,7 @@
 #include "process/AccountPages.h"
 #include "process/AdminPages.h"
 #include "process/ForwardCalls.h"
+#include "process/ForwardExchanges.h"
 #include "process/ForwardMetrics.h"
 #include "process/ForwardPages.h"
 #include "process/ForwardPeers.h"
@@ -21,12 +22,9 @@
 #include "request/forward/ForwardLogic.h"
 #include "version/DocumentFollower.h"
 
-#include <algorithm>
 #include <atomic>
-#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
-#include <unordered_map>
 
 namespace wrenhinge {
 
@@ -115,14 +113,6 @@
     }
 
 private:
-    /// A request in progress, the answer to its caller, and the current call to a replica.
-    struct Exchange {
-        HttpRequest request;
-        std::string callerId;
-        std::shared_ptr<HttpAnswer> answer;
-        UpstreamPool::Call call;
-    };
-
     // --- Events -------------------------------------------------------------------------------------------------
 
     void post(const forward::Event& event) { m_driver.post(event); }
@@ -134,7 +124,7 @@
         answer->onGone = [this, id] { post(forward::CallerDisconnected { id }); };
         parsed.metadata.readFor = request.readFor;
         parsed.metadata.fingerprint = fingerprintOf({ request.method, request.host, request.target, request.body });
-        m_exchanges[id] = { std::move(request), std::move(parsed.id), std::move(answer), {} };
+        m_exchanges.add(id, { std::move(request), std::move(parsed.id), std::move(answer) });
         post(forward::Submit { id, std::move(parsed.metadata) });
     }
 
@@ -198,30 +188,29 @@
             std::visit([this](auto& e) { execute(e); }, effect);
     }
 
-    Exchange* find(const RequestId& id)
-    {
-        auto it = m_exchanges.find(id);
-        return it == m_exchanges.end() ? nullptr : &it->second;
-    }
-
     void execute(forward::Send& send)
     {
-        if (auto* exchange = find(send.id))
+        if (auto* exchange = m_exchanges.find(send.id))
             exchange->call = m_calls.start(send, exchange->request, exchange->callerId);
     }
 
     void execute(forward::ReserveAtReplica& reserve)
     {
-        if (auto* exchange = find(reserve.id))
+        if (auto* exchange = m_exchanges.find(reserve.id))
             exchange->call = m_calls.start(reserve, exchange->callerId);
     }
 
     void execute(forward::ReserveAtSidecar& reserve)
     {
-        if (auto* exchange = find(reserve.id))
+        if (auto* exchange = m_exchanges.find(reserve.id))
             m_peers.reserve(reserve, exchange->callerId);
     }
 
+    /// What callers see.
+    template <typename E>
+    requires requires(ForwardExchanges<Dialect>& exchanges, E& effect) { exchanges.execute(effect); }
+    void execute(E& effect) { m_exchanges.execute(effect); }
+
     /// Messages to other processes of this project.
     template <typename E>
     requires requires(ForwardPeers& peers, E& effect) { peers.execute(effect); }
@@ -231,51 +220,6 @@
 
     void execute(forward::ReleaseKvCache& release) { m_calls.release(release.source); }
 
-    void execute(forward::CancelCall& cancel)
-    {
-        if (auto* exchange = find(cancel.id))
-            UpstreamPool::cancel(exchange->call);
-    }
-
-    void execute(forward::Reply& reply)
-    {
-        if (auto answer = removeExchange(reply.id))
-            answer->reply(reply.status, reply.headers, std::move(reply.body));
-    }
-
-    void execute(forward::Refuse& refuse)
-    {
-        auto* exchange = find(refuse.id);
-        if (!exchange)
-            return;
-        auto headers = Dialect::errorHeaders(refuse.error, exchange->callerId);
-        removeExchange(refuse.id)->reply(httpStatusOf(refuse.error.code), headers, Dialect::errorBody(refuse.error));
-    }
-
-    void execute(forward::BeginStream& begin)
-    {
-        if (auto* exchange = find(begin.id))
-            exchange->answer->begin(begin.status, begin.headers);
-    }
-
-    void execute(forward::StreamBytes& bytes)
-    {
-        if (auto* exchange = find(bytes.id))
-            exchange->answer->write(std::move(bytes.bytes));
-    }
-
-    void execute(forward::EndStream& end)
-    {
-        if (auto answer = removeExchange(end.id))
-            answer->end();
-    }
-
-    void execute(forward::AbortStream& abort)
-    {
-        if (auto answer = removeExchange(abort.id))
-            answer->breakOff();
-    }
-
     void execute(forward::Finished& finished) { m_metrics.record(finished); }
 
     void execute(forward::DropConnections& drop) { m_calls.forget(drop.replica); }
@@ -293,7 +237,7 @@
 
     void execute(LogEvent& event)
     {
-        if (auto* exchange = find(event.request))
+        if (auto* exchange = m_exchanges.find(event.request))
             event.text += " (" + exchange->callerId + ")";
         m_runtime.log().write(event);
     }
@@ -326,17 +270,6 @@
         return json;
     }
 
-    /// Removes an exchange. \returns its answer to the caller, or null if there is no such exchange.
-    std::shared_ptr<HttpAnswer> removeExchange(const RequestId& id)
-    {
-        auto it = m_exchanges.find(id);
-        if (it == m_exchanges.end())
-            return nullptr;
-        auto answer = std::move(it->second.answer);
-        m_exchanges.erase(it);
-        return answer;
-    }
-
     Settings m_settings;
     Runtime& m_runtime;
     Strand m_strand;
@@ -351,7 +284,7 @@
     typename Dialect::DocumentReader m_reader; ///< Guarded by the lock of m_documents.
     LogicDriver<DocumentFollower, document::Event, document::Effect> m_documents; ///< Its lock is acquired before m_driver's.
     LogicDriver<ForwardLogic, forward::Event, forward::Effect> m_driver;
-    std::unordered_map<RequestId, Exchange> m_exchanges; ///< Accessed only on the strand.
+    ForwardExchanges<Dialect> m_exchanges;
     std::uint64_t m_lastSequence = 0;
     std::atomic<bool> m_isDraining = false;
     AdminServer m_adminServer; ///< Declared last, so destroyed first: its threads access the members above.
