Controllers remember how many gateways there were, and tell it from the start

A controller that has just started is silent about the number of gateways for five seconds, and gateways that know none went by 100: at 361 gateways each took 3.6 times its share of a replica's connections, of accounts' quotas and of stated limits in these seconds, and none used any slack for retries. Controllers with a disk now store the largest number of the last minute (a file of its own beside the replicas) and state it in their heartbeats from the first one on, until they have counted again.

Tests: a registrar that starts with a stored number tells it; a number that can't be is not restored; a gateway's share of connections goes by the stored number (one call of 690 connections in place of five). What remains at 100 is the very first start of a site, for connections, accounts and stated limits.

--- a/src/connection/MessageCheck.cpp
+++ b/src/connection/MessageCheck.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    constexpr std::uint32_t mostGateways = 100'000;
+
     using Fault = std::optional<std::string>;
 
     /// Enough for `[IPv6]:port`, in bytes.
@@ -279,6 +281,13 @@
     return std::nullopt;
 }
 
+std::optional<std::string> faultOf(const StoredGatewayCount& stored)
+{
+    if (!stored.gateways || stored.gateways > mostGateways)
+        return wrong("gateways", "a number from 1 to " + std::to_string(mostGateways), std::to_string(stored.gateways));
+    return std::nullopt;
+}
+
 std::optional<std::string> faultOf(const ReplicaCrash& crash)
 {
     if (auto fault = faultOfId(crash.replica))
--- a/src/connection/MessageCheck.h
+++ b/src/connection/MessageCheck.h
@@ -36,6 +36,7 @@
 std::optional<std::string> faultOf(const Announcement&);
 std::optional<std::string> faultOf(const ReplicaCrash&);
 std::optional<std::string> faultOf(const StreamRecord&);
+std::optional<std::string> faultOf(const StoredGatewayCount&);
 std::optional<std::string> faultOf(const Message&);
 
 /// Makes a text from outside printable: at most `most` bytes, with `?` for everything but visible ASCII and spaces.
--- a/src/message/RegistryMessages.h
+++ b/src/message/RegistryMessages.h
@@ -60,6 +60,12 @@
     MSGPACK_DEFINE(ages, gateways, earliestStart, startOffsets, digest, known, recentGateways)
 };
 
+/// The largest number of gateways lately, as a controller stores it.
+struct StoredGatewayCount {
+    std::uint32_t gateways = 0;
+    MSGPACK_DEFINE(gateways)
+};
+
 /// The load that one gateway put on a service's engines, in number of busy replicas of each stage, on average since its last report.
 struct StageLoad {
     double prefill = 0;
--- a/src/process/ControllerRole.cpp
+++ b/src/process/ControllerRole.cpp
@@ -126,12 +126,17 @@
 void ControllerRole::startRegistrar()
 {
     std::vector<Announcement> restored;
+    std::vector<StoredGatewayCount> gateways;
     if (isDynamic() && hasDisk()) {
         m_persistedReplicas.emplace(m_settings.controller.data, m_runtime.log(), m_runtime.refusals());
         m_registrar.onChange = [this](std::vector<Announcement> list) { m_persistedReplicas->save(std::move(list)); };
         restored = m_persistedReplicas->load();
+        m_persistedGateways.emplace(m_settings.controller.data, m_runtime.log(), m_runtime.refusals());
+        m_registrar.onGatewayCount = [this](std::uint32_t n) { m_persistedGateways->save({ StoredGatewayCount { n } }); };
+        gateways = m_persistedGateways->load();
     }
-    boost::asio::post(m_strand, [this, restored = std::move(restored)] { m_registrar.start(restored); });
+    boost::asio::post(m_strand,
+        [this, restored = std::move(restored), n = gateways.empty() ? 0 : gateways.front().gateways] { m_registrar.start(restored, n); });
 }
 
 void ControllerRole::startCrashRelay()
--- a/src/process/ControllerRole.h
+++ b/src/process/ControllerRole.h
@@ -89,6 +89,7 @@
     ReplicaLimitRelay m_limitRelay;
     StreamDirectoryServer m_streams;
     std::optional<PersistedReplicas> m_persistedReplicas; ///< Set by `start`.
+    std::optional<PersistedGatewayCount> m_persistedGateways; ///< Set by `start`.
     std::optional<PersistedCrashes> m_persistedCrashes; ///< Set by `start`.
     AdminPages m_pages;
     AdminServer m_adminServer;
--- a/src/process/PersistedList.cpp
+++ b/src/process/PersistedList.cpp
@@ -14,6 +14,7 @@
     template <typename Entry> constexpr const char* fileName = nullptr;
     template <> constexpr const char* fileName<Announcement> = "replicas";
     template <> constexpr const char* fileName<ReplicaCrash> = "crashes";
+    template <> constexpr const char* fileName<StoredGatewayCount> = "gateways";
 
 } // namespace
 
@@ -104,5 +105,6 @@
 
 template class PersistedList<Announcement>;
 template class PersistedList<ReplicaCrash>;
+template class PersistedList<StoredGatewayCount>;
 
 } // namespace wrenhinge
--- a/src/process/PersistedList.h
+++ b/src/process/PersistedList.h
@@ -5,6 +5,8 @@
  * interval, and all requests in the meantime go to the first known replicas: the first prefill replica was sent 29 prompts within 0.9 s, of
  * which 16 were cancelled after 0.6 s and prefilled at decode replicas.
  *
+ * The number of gateways: without the file, gateways would not know how many share the limits of the site until all have connected.
+ *
  * Requests that crash replicas: without the file, such a request crashes three more replicas after each such restart.
  *
  * The stored state may be outdated. A replica that no longer exists is not renewed and is soon considered stale, and each call contains the
@@ -63,5 +65,6 @@
 
 using PersistedReplicas = PersistedList<Announcement>;
 using PersistedCrashes = PersistedList<ReplicaCrash>;
+using PersistedGatewayCount = PersistedList<StoredGatewayCount>; ///< A list with one entry.
 
 } // namespace wrenhinge
--- a/src/process/Registrar.cpp
+++ b/src/process/Registrar.cpp
@@ -24,8 +24,10 @@
 {
 }
 
-void Registrar::start(const std::vector<Announcement>& restored)
+void Registrar::start(const std::vector<Announcement>& restored, std::uint32_t restoredGateways)
 {
+    m_recentGateways.report(restoredGateways, currentInstant());
+    m_notifiedGateways = restoredGateways;
     m_countsGatewaysFrom = currentInstant() + m_gatewayCountDelay;
     for (const auto& announcement : restored)
         m_registry.announce(announcement, m_registry.times().restoredAge(), currentInstant());
@@ -46,7 +48,7 @@
 {
     if (peer.role == Role::Sidecar)
         return;
-    // Without the number of gateways, which the next heartbeat contains if it is known.
+    // Without the number of connected gateways, which the next heartbeat contains if it is known.
     boost::asio::post(m_strand, [this, id = peer.id, role = peer.role] { m_hub.send(id, heartbeatFor(role, 0)); });
 }
 
@@ -193,19 +195,31 @@
     auto scope = role == Role::Gateway ? ReplicaRegistry::HeartbeatScope::Stale : ReplicaRegistry::HeartbeatScope::All;
     auto message = m_registry.heartbeat(scope, currentInstant());
     message.gateways = gateways;
-    message.recentGateways = gateways ? m_recentGateways.value() : 0;
+    message.recentGateways = m_recentGateways.known().value_or(0);
     return message;
 }
 
-void Registrar::sendHeartbeats()
+/// \returns the number of connected gateways; zero while not all of them may be connected.
+std::uint32_t Registrar::countGateways()
 {
-    m_registry.removeExpired(currentInstant());
-    notifyIfChanged();
+    if (currentInstant() < m_countsGatewaysFrom)
+        return 0;
     auto peers = m_hub.peers();
     auto isGateway = [](const Hello& peer) { return peer.role == Role::Gateway; };
-    bool isCounting = currentInstant() >= m_countsGatewaysFrom;
-    auto gateways = isCounting ? static_cast<std::uint32_t>(std::count_if(peers.begin(), peers.end(), isGateway)) : 0;
+    auto gateways = static_cast<std::uint32_t>(std::count_if(peers.begin(), peers.end(), isGateway));
     m_recentGateways.report(gateways, currentInstant());
+    if (auto recent = m_recentGateways.known().value_or(0); onGatewayCount && recent != m_notifiedGateways) {
+        m_notifiedGateways = recent;
+        onGatewayCount(recent);
+    }
+    return gateways;
+}
+
+void Registrar::sendHeartbeats()
+{
+    m_registry.removeExpired(currentInstant());
+    notifyIfChanged();
+    auto gateways = countGateways();
     for (auto role : { Role::Gateway, Role::Controller })
         m_hub.broadcast(heartbeatFor(role, gateways), [role](const Hello& peer) { return peer.role == role; });
     m_timer.expires_after(heartbeatInterval);
--- a/src/process/Registrar.h
+++ b/src/process/Registrar.h
@@ -28,7 +28,7 @@
 
     /// A controller that has just started is connected to only some of the gateways. If it sent their number, each would use too large a
     /// share of the common budget for calls beyond the first ones. After this time, several times the longest pause between connection
-    /// attempts, all gateways have connected.
+    /// attempts, all gateways have connected. Until then it sends only the number that it has stored.
     static constexpr Duration gatewayCountDelay = 5s;
 
     /// \param times of the replicas' announcements.
@@ -36,7 +36,10 @@
     Registrar(Strand, PeerHub&, EventLog&, AnnouncementTimes times = AnnouncementTimes(), Duration countDelay = gatewayCountDelay);
 
     /// \param restored replicas known before this process started.
-    void start(const std::vector<Announcement>& restored);
+    /// \param restoredGateways how many gateways there were then; zero: not known.
+    void start(const std::vector<Announcement>& restored, std::uint32_t restoredGateways = 0);
+    /// Called with the largest number of gateways lately when it has changed. Set it before `start`.
+    std::function<void(std::uint32_t)> onGatewayCount;
     /// Called with the replicas that announce themselves when one was added, has changed or become silent. Set it before `start`.
     std::function<void(std::vector<Announcement>)> onChange;
     // Calls of replicas.
@@ -67,6 +70,7 @@
     /// \param gateways their number; zero: unknown.
     [[nodiscard]] RegistryHeartbeat heartbeatFor(Role, std::uint32_t gateways) const;
     void sendHeartbeats();
+    [[nodiscard]] std::uint32_t countGateways();
     void queryIfNeeded();
 
     Strand m_strand;
@@ -77,6 +81,7 @@
     Duration m_gatewayCountDelay;
     Instant m_countsGatewaysFrom; ///< Set by `start`.
     GatewayCount m_recentGateways { GatewayCount::controllerMemory };
+    std::uint32_t m_notifiedGateways = 0; ///< At the last call of `onGatewayCount`.
     ReplicaRegistry m_registry;
     RegistryFollower m_follower;
     std::map<std::string, std::uint64_t> m_notified; ///< The change counts at the last call of `onChange`, by id.
--- a/src/request/forward/ForwardReplicas.cpp
+++ b/src/request/forward/ForwardReplicas.cpp
@@ -63,7 +63,7 @@
 void ForwardLogic::on(const RegistryHeartbeat& event, Instant now)
 {
     m_replicas.noteControllerContact(now);
-    m_gateways.report(event.gateways, now);
+    m_gateways.report(event.gateways ? event.gateways : event.recentGateways, now);
     m_budget.setGateways(std::max(event.gateways, event.recentGateways), now);
     m_quotas.setGateways(m_gateways.value());
     m_limits.permits().setGateways(m_gateways.value(), now);
--- a/test/correctness/ConnectionShareTest.cpp
+++ b/test/correctness/ConnectionShareTest.cpp
@@ -31,3 +31,22 @@
     }
     CHECK(admitted == (hasSidecar ? 6 : 2));
 }
+
+TEST_CASE("after a start of the whole site a gateway's share of a replica's connections goes by how many gateways there were before")
+{
+    // Guards against gateways of a large site that together open more connections than a replica accepts.
+    Bench bench;
+    auto limited = document(1);
+    limited.services[1].maxConnections = 690;
+    bench.post(DocumentReceived { limited, true });
+    RegistryHeartbeat heartbeat;
+    heartbeat.recentGateways = 361;
+    bench.post(heartbeat);
+    bench.replica("d", UpstreamKind::Decode).replica("p", UpstreamKind::Prefill);
+    std::size_t admitted = 0;
+    for (int i = 0; i < 6; ++i) {
+        bench.submit("/stream/x");
+        admitted += bench.effects<ReserveAtReplica>().size();
+    }
+    CHECK(admitted == 1);
+}
--- a/test/correctness/DiskMemoryTest.cpp
+++ b/test/correctness/DiskMemoryTest.cpp
@@ -104,3 +104,13 @@
     CHECK((list[0].run() == ReplicaRun { "i-1", ReplicaStart(5) }));
     CHECK(list[0].age == 3s);
 }
+
+TEST_CASE("the number of gateways is remembered, and one that can't be is not")
+{
+    ControllerFolder at;
+    PersistedGatewayCount memory(at.folder.path(), at.log, at.refusals);
+    memory.save({ StoredGatewayCount { 361 } });
+    CHECK(written(memory, 1)[0].gateways == 361);
+    memory.save({ StoredGatewayCount { 4'000'000'000 } });
+    CHECK(written(memory, 0).empty());
+}
--- a/test/correctness/RegistrarTest.cpp
+++ b/test/correctness/RegistrarTest.cpp
@@ -59,9 +59,9 @@
         m_io.stop();
         m_thread.join();
     }
-    void start()
+    void start(std::uint32_t restoredGateways = 0)
     {
-        boost::asio::post(m_io, [this] { m_registrar->start({}); });
+        boost::asio::post(m_io, [this, restoredGateways] { m_registrar->start({}, restoredGateways); });
     }
     /// A replica announces itself to the controller.
     void announce(const Announcement& announcement)
@@ -139,3 +139,13 @@
     link.relay(other);
     CHECK(link.announcements.await(3).announcement.id == "other");
 }
+
+TEST_CASE("a controller that has just started tells how many gateways there were before")
+{
+    // Guards against gateways that exceed the limits of a large site together after a loss of all instances.
+    Link link(Registrar::gatewayCountDelay);
+    link.heard.await(1);
+    link.start(361);
+    CHECK(link.heard.await(2).gateways == 0);
+    CHECK(link.heard.await(2).recentGateways == 361);
+}
