Controllers tell each other the age of each replica in a byte

Heartbeats between controllers named every replica with its age and start: some 20 bytes each, 13 KB with 655 replicas, 60 KB with 3,000, 210 KB with 10,000, once a second from each controller to each other one.

Now a message of its own has one byte for each replica, in the order of the ids: its age in units of 50 ms, rounded up. It counts only at a controller that knows the same runs; a replica that drains or changes its stage does not disturb that. As ages are rounded up, two controllers can't make an ended run look fresher to each other, which named ages did by the latency of a message. A controller of a release before gets names as ever: it would take what is not named for fresh.

Tests: 1,000 replicas take less than 1,100 bytes, a crashed one becomes silent at both controllers, ages of other runs renew nothing.

--- a/src/message/Messages.h
+++ b/src/message/Messages.h
@@ -39,7 +39,7 @@
     RegistryHeartbeat, DocumentOffer, ControllerRoster, ReadIndex, ReadIndexReply, EngineLoadReport, StageChange, DocumentRequest,
     DocumentPart, ReservationRequest, ReservationReply, ReservationEnd, EngineHeadroom, PrefillNotice, RegistryRequest, RegistryList,
     CrashReport, QuotaReport, QuotaTotals, ReplicaRateLimits, ReplicaUsageReport, ReplicaUsageTotals, StreamRecords, StreamRecordsHeld,
-    StreamLookup, StreamLookupReply>;
+    StreamLookup, StreamLookupReply, RegistryAges>;
 
 /// Whether the sender of the Hello knows this type of messages. A process ends the link over which it receives one that it doesn't know.
 template <typename T> bool knows(const Hello& peer) { return Message(T()).index() < peer.messageTypes; }
--- a/src/message/RegistryMessages.h
+++ b/src/message/RegistryMessages.h
@@ -60,6 +60,15 @@
     MSGPACK_DEFINE(ages, gateways, earliestStart, startOffsets, digest, known, recentGateways)
 };
 
+/// Renews the replicas' runs at another controller, once a second: a heartbeat that names all of them takes twenty times as many bytes.
+struct RegistryAges {
+    std::uint64_t digest = 0; ///< Of all replicas in the sender's registry.
+    std::uint32_t known = 0; ///< Their number.
+    std::uint64_t runs = 0; ///< A digest of the runs alone. A recipient with another one can't tell which age is whose.
+    std::string ages; ///< A byte for each replica, in the order of the ids (ReplicaRegistry::ages).
+    MSGPACK_DEFINE(digest, known, runs, ages)
+};
+
 /// The largest number of gateways lately, as a controller stores it.
 struct StoredGatewayCount {
     std::uint32_t gateways = 0;
--- a/src/process/Registrar.cpp
+++ b/src/process/Registrar.cpp
@@ -6,11 +6,18 @@
 
 namespace wrenhinge {
 
+namespace {
+
+    bool takesAges(const Hello& peer) { return peer.role == Role::Controller && knows<RegistryAges>(peer); }
+
+} // namespace
+
 bool isForRegistrar(const Message& message)
 {
     return std::holds_alternative<RelayedAnnouncement>(message) || std::holds_alternative<ReplicaWithdrawn>(message)
         || std::holds_alternative<RegistryHeartbeat>(message) || std::holds_alternative<StageChange>(message)
-        || std::holds_alternative<RegistryRequest>(message) || std::holds_alternative<RegistryList>(message);
+        || std::holds_alternative<RegistryRequest>(message) || std::holds_alternative<RegistryList>(message)
+        || std::holds_alternative<RegistryAges>(message);
 }
 
 Registrar::Registrar(Strand strand, PeerHub& hub, EventLog& log, AnnouncementTimes times, Duration countDelay)
@@ -49,7 +56,12 @@
     if (peer.role == Role::Sidecar)
         return;
     // Without the number of connected gateways, which the next heartbeat contains if it is known.
-    boost::asio::post(m_strand, [this, id = peer.id, role = peer.role] { m_hub.send(id, heartbeatFor(role, 0)); });
+    boost::asio::post(m_strand, [this, peer] {
+        if (takesAges(peer))
+            m_hub.send(peer.id, m_registry.ages(currentInstant()));
+        else
+            m_hub.send(peer.id, heartbeatFor(peer.role, 0));
+    });
 }
 
 void Registrar::peerDown(PeerId peer)
@@ -68,8 +80,10 @@
             changeStage(*change);
         } else if (const auto* heartbeat = std::get_if<RegistryHeartbeat>(&message)) {
             m_registry.renew(*heartbeat, currentInstant());
-            m_follower.digestReceived(peer, heartbeat->digest, heartbeat->known, m_registry.digest());
-            queryIfNeeded();
+            compare(peer, heartbeat->digest, heartbeat->known);
+        } else if (const auto* ages = std::get_if<RegistryAges>(&message)) {
+            m_registry.renew(*ages, currentInstant());
+            compare(peer, ages->digest, ages->known);
         } else if (const auto* request = std::get_if<RegistryRequest>(&message)) {
             m_hub.send(peer, m_registry.listFor(*request, currentInstant()));
         } else if (const auto* list = std::get_if<RegistryList>(&message)) {
@@ -97,6 +111,12 @@
     queryIfNeeded();
 }
 
+void Registrar::compare(PeerId peer, std::uint64_t digest, std::uint32_t known)
+{
+    m_follower.digestReceived(peer, digest, known, m_registry.digest());
+    queryIfNeeded();
+}
+
 void Registrar::queryIfNeeded()
 {
     auto now = currentInstant();
@@ -220,8 +240,13 @@
     m_registry.removeExpired(currentInstant());
     notifyIfChanged();
     auto gateways = countGateways();
-    for (auto role : { Role::Gateway, Role::Controller })
-        m_hub.broadcast(heartbeatFor(role, gateways), [role](const Hello& peer) { return peer.role == role; });
+    m_hub.broadcast(heartbeatFor(Role::Gateway, gateways), [](const Hello& peer) { return peer.role == Role::Gateway; });
+    m_hub.broadcast(m_registry.ages(currentInstant()), takesAges);
+    // A controller of a release that doesn't know the ages would take all that a heartbeat doesn't name for fresh.
+    auto needsNames = [](const Hello& peer) { return peer.role == Role::Controller && !takesAges(peer); };
+    auto peers = m_hub.peers();
+    if (std::any_of(peers.begin(), peers.end(), needsNames))
+        m_hub.broadcast(heartbeatFor(Role::Controller, gateways), needsNames);
     m_timer.expires_after(heartbeatInterval);
     m_timer.async_wait([this](ErrorCode ec) {
         if (!ec)
--- a/src/process/Registrar.h
+++ b/src/process/Registrar.h
@@ -3,9 +3,9 @@
  *
  * Changes are sent to all connected gateways and controllers immediately, so that a draining replica gets no new work after the latency of
  * one message. Each controller forwards the changes that it receives from others, except new replicas, so that a gateway which reaches only
- * one side of a network partition still learns those of the other side. Renewals are sent once a second in one heartbeat, which lists all
- * replicas for controllers but only those that were not renewed for gateways. The registry is soft state: a process that starts detects by
- * the digest in the heartbeat that its list differs, and requests the whole list (RegistryFollower).
+ * one side of a network partition still learns those of the other side. Renewals are sent once a second in one heartbeat, which has the
+ * ages of all replicas for controllers but lists only those that were not renewed for gateways. The registry is soft state: a process that
+ * starts detects by the digest in the heartbeat that its list differs, and requests what it does not know (RegistryFollower).
  *
  * Runs on the strand passed to it.
  */
@@ -71,6 +71,7 @@
     [[nodiscard]] RegistryHeartbeat heartbeatFor(Role, std::uint32_t gateways) const;
     void sendHeartbeats();
     [[nodiscard]] std::uint32_t countGateways();
+    void compare(PeerId, std::uint64_t digest, std::uint32_t known);
     void queryIfNeeded();
 
     Strand m_strand;
--- a/src/request/fleet/ReplicaRegistry.cpp
+++ b/src/request/fleet/ReplicaRegistry.cpp
@@ -19,6 +19,8 @@
     /// many bytes.
     constexpr double bytesPerReplica = 72;
     constexpr double bytesPerPart = 9;
+    /// Stands for all ages that are too long for a byte.
+    constexpr std::uint8_t ageTooLong = 255;
     /// Enough for 100,000 replicas.
     constexpr std::size_t maxParts = 1024;
 
@@ -86,6 +88,8 @@
     if (auto it = m_entries.find(id); it != m_entries.end())
         erase(it);
     m_idsAt[entry.announcement.address].push_back(id);
+    entry.runDigest = XXH3_64bits_withSeed(id.data(), id.size(), entry.announcement.start.value());
+    m_runDigestSum += entry.runDigest;
     updateDigest(m_entries.emplace(std::move(id), std::move(entry)).first->second);
 }
 
@@ -93,6 +97,7 @@
 {
     removeFromAddress(it->second.announcement);
     m_digestSum -= it->second.digest;
+    m_runDigestSum -= it->second.runDigest;
     m_entries.erase(it);
 }
 
@@ -175,6 +180,28 @@
     return heartbeat;
 }
 
+RegistryAges ReplicaRegistry::ages(Instant now) const
+{
+    RegistryAges message { digest(), static_cast<std::uint32_t>(m_entries.size()), m_runDigestSum, {} };
+    message.ages.reserve(m_entries.size());
+    for (const auto& [id, entry] : m_entries) {
+        auto units = std::clamp<std::int64_t>((now - entry.lastHeardAt + ageUnit - 1us) / ageUnit, 0, ageTooLong);
+        message.ages.push_back(static_cast<char>(units));
+    }
+    return message;
+}
+
+void ReplicaRegistry::renew(const RegistryAges& message, Instant now)
+{
+    if (message.runs != m_runDigestSum || message.ages.size() != m_entries.size())
+        return;
+    auto age = message.ages.begin();
+    for (auto& [id, entry] : m_entries) {
+        if (auto units = static_cast<std::uint8_t>(*age++); units < ageTooLong)
+            entry.lastHeardAt = std::max(entry.lastHeardAt, now - units * ageUnit);
+    }
+}
+
 RegistryList ReplicaRegistry::list(Instant now) const
 {
     return listOf([](const std::string&) { return true; }, now);
--- a/src/request/fleet/ReplicaRegistry.h
+++ b/src/request/fleet/ReplicaRegistry.h
@@ -45,6 +45,7 @@
         Instant changeExpiresAt; ///< From then on the announced stage counts, whether or not the order was carried out.
         AnnouncementTimes times {};
         std::uint64_t digest = 0; ///< This entry's part of the registry's digest.
+        std::uint64_t runDigest = 0; ///< This entry's part of the digest of the runs.
 
         [[nodiscard]] bool isChanging(Instant now) const { return pendingStage && changeExpiresAt > now; }
         /// An announcement is missing, so the replica may have crashed.
@@ -90,6 +91,11 @@
     };
     /// A heartbeat that renews all entries at a process with the same digest.
     [[nodiscard]] RegistryHeartbeat heartbeat(HeartbeatScope, Instant now) const;
+    /// The unit of the ages that controllers send each other.
+    static constexpr Duration ageUnit = 50ms;
+    /// The same for controllers. Ages are rounded up, so that two controllers don't make an ended run look fresher to each other.
+    [[nodiscard]] RegistryAges ages(Instant now) const;
+    void renew(const RegistryAges&, Instant now);
     /// All entries and ended runs, from which another process reaches the same state.
     [[nodiscard]] RegistryList list(Instant now) const;
     /// A request for what another process knows and this one does not.
@@ -126,6 +132,7 @@
     std::map<std::string, Entry> m_entries;
     std::unordered_map<std::string, std::vector<std::string>> m_idsAt; ///< The ids of the entries by address.
     std::uint64_t m_digestSum = 0; ///< Of the digests of all entries, so that their order does not matter.
+    std::uint64_t m_runDigestSum = 0;
     std::map<std::string, EndedRun> m_withdrawn;
 };
 
--- a/test/correctness/RegistrarTest.cpp
+++ b/test/correctness/RegistrarTest.cpp
@@ -45,14 +45,15 @@
     return Hello { PeerId(id), role, role == Role::Gateway ? "gateway" : "controller", "", "", "", {} };
 }
 
-/// A controller's registrar, and a gateway that is linked to it before it starts.
+/// A controller's registrar, and a gateway or another controller that is linked to it before it starts.
 class Link {
 public:
-    explicit Link(Duration countsAfter)
+    explicit Link(Duration countsAfter, Role role = Role::Gateway)
+        : m_peer(m_io, hello(2, role), atPeer())
     {
         m_registrar = std::make_unique<Registrar>(boost::asio::make_strand(m_io), m_controller, m_log, AnnouncementTimes(), countsAfter);
         m_thread = std::thread([this] { m_io.run(); });
-        m_gateway.dial(m_controller.listen("127.0.0.1:0").value());
+        m_peer.dial(m_controller.listen("127.0.0.1:0").value());
     }
     ~Link()
     {
@@ -73,6 +74,7 @@
 
     Heard<RegistryHeartbeat> heard;
     Heard<RelayedAnnouncement> announcements;
+    Heard<RegistryAges> ages;
 
 private:
     PeerHub::Handlers atController()
@@ -80,12 +82,13 @@
         return { [this](const Hello& peer) { m_registrar->peerUp(peer); }, [](PeerId) {}, [](PeerId, Message&&) {},
             [] { return HybridTime {}; }, [](HybridTime) {} };
     }
-    PeerHub::Handlers atGateway()
+    PeerHub::Handlers atPeer()
     {
         return { [](const Hello&) {}, [](PeerId) {},
             [this](PeerId, Message&& message) {
                 heard.add(message);
                 announcements.add(message);
+                ages.add(message);
             },
             [] { return HybridTime {}; }, [](HybridTime) {} };
     }
@@ -96,7 +99,7 @@
     EventLog m_log { m_settings, "test" };
     std::unique_ptr<Registrar> m_registrar;
     PeerHub m_controller { m_io, hello(1, Role::Controller), atController() };
-    PeerHub m_gateway { m_io, hello(2, Role::Gateway), atGateway() };
+    PeerHub m_peer;
     std::thread m_thread;
 };
 
@@ -149,3 +152,14 @@
     CHECK(link.heard.await(2).gateways == 0);
     CHECK(link.heard.await(2).recentGateways == 361);
 }
+
+TEST_CASE("a controller sends another one the ages of all replicas")
+{
+    Link link(Duration::zero(), Role::Controller);
+    CHECK(link.ages.await(1).known == 0);
+    link.announce({ "direct", "s", "10.0.0.1:80", "z", "v1", 4 });
+    link.announcements.await(1);
+    link.start();
+    CHECK(link.ages.await(2).known == 1);
+    CHECK(link.ages.await(2).ages.size() == 1);
+}
--- a/test/correctness/RegistryTest.cpp
+++ b/test/correctness/RegistryTest.cpp
@@ -123,6 +123,58 @@
     }
 }
 
+TEST_CASE("controllers tell each other the age of each replica in a byte, and detect a replica that has crashed")
+{
+    // Guards against traffic between controllers of 20 bytes a replica and second, and against ended runs that never become silent.
+    auto a = registryOf(1000);
+    auto b = registryOf(1000);
+    auto now = start;
+    for (int i = 1; i <= 200; ++i) {
+        now = start + i * 100ms;
+        if (i % 12 == 0) {
+            for (int n = 1; n < 1000; ++n)
+                a.announce(replica(n, static_cast<std::uint64_t>(i)), 0s, now);
+        }
+        if (i % 10 == 3)
+            b.renew(a.ages(now), now);
+        if (i % 10 == 7)
+            a.renew(b.ages(now), now);
+        for (const auto* registry : { &a, &b })
+            CHECK_FALSE(registry->entries().at("i-999").isSilent(now));
+    }
+    CHECK(encode(a.ages(now)).size() < 1100);
+    for (const auto* registry : { &a, &b }) {
+        CHECK(registry->entries().at("i-0").isSilent(now));
+        CHECK(registry->entries().at("i-0").lastHeardAt <= start + ReplicaRegistry::ageUnit);
+    }
+}
+
+TEST_CASE("ages of other runs renew nothing")
+{
+    // Guards against ages that are taken for those of other replicas.
+    auto sender = registryOf(3);
+    auto receiver = registryOf(3);
+    SUBCASE("a replica has restarted") { sender.announce(replica(0, 1, ReplicaStart(5)), 0s, start + 3s); }
+    SUBCASE("a replica has ended") { sender.withdraw(replica(2).run(), start + 3s); }
+    SUBCASE("a replica is new") { sender.announce(replica(3), 0s, start + 3s); }
+    CHECK(sender.ages(start).runs != receiver.ages(start).runs);
+    for (int n = 0; n < 3; ++n)
+        sender.renew({ "i-" + std::to_string(n), {} }, 0s, start + 10s);
+    receiver.renew(sender.ages(start + 10s), start + 10s);
+    for (const auto& [id, entry] : receiver.entries())
+        CHECK((entry.lastHeardAt == start));
+}
+
+TEST_CASE("ages are understood while replicas drain, and one too long for a byte renews nothing")
+{
+    auto sender = registryOf(2);
+    auto receiver = registryOf(2);
+    sender.announce(replica(0, 2, {}, ReplicaState::Draining), 0s, start + 30s);
+    receiver.renew(sender.ages(start + 30s), start + 30s);
+    CHECK((receiver.entries().at("i-0").lastHeardAt == start + 30s));
+    CHECK((receiver.entries().at("i-1").lastHeardAt == start));
+}
+
 TEST_CASE("a process that knows other replicas renews only the entries that are listed")
 {
     // Guards against requests to a replica that has ended.
--- a/test/fuzz/FuzzTest.cpp
+++ b/test/fuzz/FuzzTest.cpp
@@ -258,8 +258,8 @@
             { 3, 5, DocumentCommand { 7, "{}", 0, {} } }, { 3, 6, DocumentCommand { 8, "", 7, changeBetween("{}", "{ }") } },
             { 3, 7, MembersCommand { { "x", "y" } } } } };
     std::vector<Message> list { hello, RelayedAnnouncement { a, 1s }, ReplicaWithdrawn { "i-1" },
-        RegistryHeartbeat { { { "i-1", 1s } }, 3 }, append, AppendReply { 3, true, 4, 9, DiskId(5) }, ProposeReply {},
-        Propose { 1, ReplaceDiskCommand { "c", DiskId(4) } }, VoteRequest { 1, 2, 3, true, DiskId(4) },
+        RegistryHeartbeat { { { "i-1", 1s } }, 3 }, RegistryAges { 7, 2, 9, "\x01\xff" }, append, AppendReply { 3, true, 4, 9, DiskId(5) },
+        ProposeReply {}, Propose { 1, ReplaceDiskCommand { "c", DiskId(4) } }, VoteRequest { 1, 2, 3, true, DiskId(4) },
         SnapshotChunk { 1, 2, 3, 0, "bytes", true }, DocumentOffer { 7, true }, DocumentRequest { 7, 6, 0 },
         DocumentPart { 7, 6, 0, 9, "bytes" }, ControllerRoster { { "10.0.0.1:7" } }, EngineLoadReport { { { "app", { 1.5, 2.5, 6s } } } },
         StageChange { "i-1", UpstreamKind::Prefill, 6s }, ReadIndexReply { 1, true, 2 }, Dispatch {}, SealReply {}, ConfigDelta {},
