What is counted or hashed once is not done again with each heartbeat and announcement

A controller copied the list of all its peers with their names twice a second only to count some of them: PeerHub::count does it without a copy. Each announcement that only renews its replica had the entry hashed anew, which nobody needs; it is done when the state or a pending change of stage differs, as the cached digest was invalidated before. No change of behaviour.

The comment on ages that controllers exchange claimed too much: rounding up does not keep two controllers from making a run look fresher by the latency of a message each second, as named ages did; it keeps that small, and a run that has ended becomes silent all the same.

--- a/src/connection/PeerHub.cpp
+++ b/src/connection/PeerHub.cpp
@@ -209,6 +209,13 @@
         m_sentBytes += link->sendEncoded(encoded, m_handlers.stampSend());
 }
 
+std::size_t PeerHub::count(const std::function<bool(const Hello&)>& includes) const
+{
+    std::lock_guard lock(m_mutex);
+    auto isIncluded = [&includes](const auto& item) { return includes(item.second); };
+    return static_cast<std::size_t>(std::count_if(m_hellos.begin(), m_hellos.end(), isIncluded));
+}
+
 std::vector<Hello> PeerHub::peers() const
 {
     std::lock_guard lock(m_mutex);
--- a/src/connection/PeerHub.h
+++ b/src/connection/PeerHub.h
@@ -49,6 +49,8 @@
     void broadcast(const Message&, const std::function<bool(const Hello&)>& includes);
     /// Sets the admin address that the Hello of later links contains.
     void setAdminAddress(const std::string&);
+    /// The number of connected peers that `includes` returns true for.
+    [[nodiscard]] std::size_t count(const std::function<bool(const Hello&)>& includes) const;
     /// The connected peers.
     [[nodiscard]] std::vector<Hello> peers() const;
     /// Unsent bytes of all links, and of the link with the most.
--- a/src/process/Registrar.cpp
+++ b/src/process/Registrar.cpp
@@ -2,12 +2,12 @@
 
 #include "base/SystemClock.h"
 
-#include <algorithm>
-
 namespace wrenhinge {
 
 namespace {
 
+    bool isGateway(const Hello& peer) { return peer.role == Role::Gateway; }
+
     bool takesAges(const Hello& peer) { return peer.role == Role::Controller && knows<RegistryAges>(peer); }
 
 } // namespace
@@ -224,9 +224,7 @@
 {
     if (currentInstant() < m_countsGatewaysFrom)
         return 0;
-    auto peers = m_hub.peers();
-    auto isGateway = [](const Hello& peer) { return peer.role == Role::Gateway; };
-    auto gateways = static_cast<std::uint32_t>(std::count_if(peers.begin(), peers.end(), isGateway));
+    auto gateways = static_cast<std::uint32_t>(m_hub.count(isGateway));
     m_recentGateways.report(gateways, currentInstant());
     if (auto recent = m_recentGateways.known().value_or(0); onGatewayCount && recent != m_notifiedGateways) {
         m_notifiedGateways = recent;
@@ -240,12 +238,11 @@
     m_registry.removeExpired(currentInstant());
     notifyIfChanged();
     auto gateways = countGateways();
-    m_hub.broadcast(heartbeatFor(Role::Gateway, gateways), [](const Hello& peer) { return peer.role == Role::Gateway; });
+    m_hub.broadcast(heartbeatFor(Role::Gateway, gateways), isGateway);
     m_hub.broadcast(m_registry.ages(currentInstant()), takesAges);
     // A controller of a release that doesn't know the ages would take all that a heartbeat doesn't name for fresh.
     auto needsNames = [](const Hello& peer) { return peer.role == Role::Controller && !takesAges(peer); };
-    auto peers = m_hub.peers();
-    if (std::any_of(peers.begin(), peers.end(), needsNames))
+    if (m_hub.count(needsNames))
         m_hub.broadcast(heartbeatFor(Role::Controller, gateways), needsNames);
     m_timer.expires_after(heartbeatInterval);
     m_timer.async_wait([this](ErrorCode ec) {
--- a/src/request/fleet/ReplicaRegistry.cpp
+++ b/src/request/fleet/ReplicaRegistry.cpp
@@ -66,9 +66,11 @@
         m_idsAt[announcement.address].push_back(announcement.id);
     }
     entry.announcement = announcement;
-    if (entry.pendingStage == announcement.kind)
+    bool endsStageChange = entry.pendingStage == announcement.kind;
+    if (endsStageChange)
         entry.pendingStage.reset();
-    updateDigest(entry);
+    if (!isSame || endsStageChange)
+        updateDigest(entry);
     return isSame ? Change::Renewed : Change::Changed;
 }
 
--- a/src/request/fleet/ReplicaRegistry.h
+++ b/src/request/fleet/ReplicaRegistry.h
@@ -93,7 +93,8 @@
     [[nodiscard]] RegistryHeartbeat heartbeat(HeartbeatScope, Instant now) const;
     /// The unit of the ages that controllers send each other.
     static constexpr Duration ageUnit = 50ms;
-    /// The same for controllers. Ages are rounded up, so that two controllers don't make an ended run look fresher to each other.
+    /// The same for controllers. Ages are rounded up. Two controllers make a run look fresher to each other by no more than the latency of
+    /// a message for each, so that one that has ended still becomes silent.
     [[nodiscard]] RegistryAges ages(Instant now) const;
     void renew(const RegistryAges&, Instant now);
     /// All entries and ended runs, from which another process reaches the same state.
