--- a/review/2/SlowStreams.cpp
+++ b/review/2/SlowStreams.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-constexpr int replicas = 8;
+constexpr int replicas = 8; ///< Of the decode stage.
+constexpr int prefillReplicas = 3;
+constexpr int prefillTime = 15;
 constexpr int slowReplica = 0; ///< One of eight: a share of 0.125.
 constexpr int slowFactor = 4;
 constexpr int slowFor = 6500;
@@ -43,10 +45,47 @@
     return connection.read(left) != 0;
 }
 
+bool answerJson(Connection& connection, const std::string& id, const std::string& status, const std::string& body)
+{
+    auto head = "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\n" + (id.empty() ? "" : "Request-Id: " + id + "\r\n");
+    return connection.write(head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+/// Places and handles, which are always to be had, and orders, which find another one in progress.
+bool serveCall(Connection& connection, const Message& request)
+{
+    static std::atomic<int> last { 0 };
+    if (request.start.rfind("POST /-/hold-take ", 0) == 0)
+        return answerJson(connection, "", "200 OK", R"({"hold":"h)" + std::to_string(++last) + R"("})");
+    if (request.start.rfind("DELETE /-/", 0) == 0)
+        return answerJson(connection, "", "200 OK", "{}");
+    if (request.start.rfind("POST /-/order ", 0) == 0)
+        return answerJson(connection, "", "409 Conflict", "{}");
+    return answerJson(connection, "", "200 OK",
+        R"({"stage":"decode","models":[{"name":"m","version":1,"adapters":[]}],"busy":true,"seq":0,"waiting":0,"running":0,"kv_used":0,)"
+        R"("kv_total":40345,"kv_handles":0,"runs":[]})");
+}
+
+bool servePrefill(Connection& connection, const Message& request)
+{
+    static std::atomic<int> last { 0 };
+    if (request.start.find(" /-/") != std::string::npos)
+        return serveCall(connection, request);
+    auto id = request.header("request-id");
+    if (request.header("stage") != "prefill")
+        return answerJson(connection, id, "421 Misdirected Request\r\nNot-Executed: 1", "{}");
+    pause(prefillTime);
+    return answerJson(connection, id, "200 OK", R"({"kv_handle":"k)" + std::to_string(++last) + R"(","tokens":1460,"version":1})");
+}
+
 /// "Most replicas drop a request when its connection closes": all but one of the eight do.
 bool serve(Record& record, int replica, Connection& connection, const Message& request)
 {
+    if (request.start.find(" /-/") != std::string::npos)
+        return serveCall(connection, request);
     auto id = request.header("request-id");
+    if (request.header("stage") == "prefill")
+        return answerJson(connection, id, "421 Misdirected Request\r\nNot-Executed: 1", "{}");
     int first = std::atoi(request.header("last-event-id").c_str()) + 1;
     std::size_t own = 0;
     {
@@ -79,7 +118,9 @@
 {
     return R"({"version":1,"routes":[{"name":"handover","host":"desk.example","path_prefix":"/handover/","kind":"streaming",)"
            R"("timeout_ms":14000,"target_latency_ms":900,"target_gap_ms":300,"priority":1,"service":"scribe","max_attempts":2,)"
-           R"("allow_resume":true}],"services":[{"name":"scribe","health_path":"/health","max_conns":490}],)"
+           R"("affinity":true,"allow_resume":true}],"services":[{"name":"scribe","health_path":"/health","max_conns":490,"engine":)"
+           R"({"slots":64,"kv_tokens":40345,"kv_token_bytes":18432,"link_mbps":740000.0,"moves":true,"backups":true,"stride":13,"most":12,)"
+           R"("kv_hold_s":0.5,"stage_switch_s":6.0,"pin_ms":4000.0,"hold_ms":2000.0,"models":[{"name":"m"}]}}],)"
            R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 }
 
@@ -87,7 +128,9 @@
 bool askStream(Record& record, const std::string& gateway, const std::string& id)
 {
     Connection connection;
-    auto headers = "Request-Id: " + id + "\r\nDeadline-Ms: " + std::to_string(deadline) + "\r\n";
+    auto headers = "Request-Id: " + id + "\r\nDeadline-Ms: " + std::to_string(deadline)
+        + "\r\nModel: m\r\nToken-Usage: 1460,80\r\nPrefix-Hash: 5c1e07a2:200," + std::to_string(std::hash<std::string>()(id) % 1000000000)
+        + ":1260\r\n";
     record.line("sent " + id);
     if (!connection.connect(gateway) || !connection.write(requestText("POST", "/handover/1", "desk.example", headers, "prompt")))
         return false;
@@ -138,8 +181,11 @@
     gateway.start();
     std::vector<std::unique_ptr<Replica>> all;
     for (int i = 0; i < replicas; ++i)
-        all.push_back(std::make_unique<Replica>("i-" + std::to_string(i), "scribe", door,
-            [&record, i](Connection& connection, const Message& request) { return serve(record, i, connection, request); }));
+        all.push_back(std::make_unique<Replica>(
+            "i-" + std::to_string(i), "scribe", door,
+            [&record, i](Connection& connection, const Message& request) { return serve(record, i, connection, request); }, "decode"));
+    for (int i = 0; i < prefillReplicas; ++i)
+        all.push_back(std::make_unique<Replica>("p-" + std::to_string(i), "scribe", door, servePrefill, "prefill"));
     if (!await(door, "PUT", "/-/config", configuration(), 200, 10000) || !await(ready, "GET", "/-/ready", "", 200, 10000))
         return exitNotRun;
     pause(trafficAfter);
--- a/review/support/Site.h
+++ b/review/support/Site.h
@@ -342,11 +342,13 @@
     /// \returns whether the connection stays open.
     using Handler = std::function<bool(Connection&, const Message&)>;
 
-    Replica(std::string id, std::string service, std::string door, Handler handler)
+    /// \param stage of an engine; empty: a replica of a plain service.
+    Replica(std::string id, std::string service, std::string door, Handler handler, std::string stage = "")
         : m_id(std::move(id))
         , m_service(std::move(service))
         , m_door(std::move(door))
         , m_handler(std::move(handler))
+        , m_stage(std::move(stage))
     {
         m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address {};
@@ -394,7 +396,10 @@
         constexpr int interval = 1200;
         for (int sequence = 1;; ++sequence) {
             auto body = R"({"service":")" + m_service + R"(","addr":")" + m_address
-                + R"(","zone":"z","version":"v1","slots":64,"state":"ready","cold_left_ms":0,"seq":)" + std::to_string(sequence) + "}";
+                + R"(","zone":"z","version":"v1","slots":64,"state":"ready","cold_left_ms":0,"seq":)" + std::to_string(sequence);
+            if (!m_stage.empty())
+                body += R"(,"stage":")" + m_stage + R"(","models":[{"name":"m","version":1,"adapters":[]}])";
+            body += "}";
             callOnce(m_door, "PUT", "/-/instances/" + m_id, body);
             pause(interval);
         }
@@ -404,6 +409,7 @@
     std::string m_service;
     std::string m_door;
     Handler m_handler;
+    std::string m_stage;
     int m_listener = -1;
     std::string m_address;
 };
