--- a/review/2/SlowStreams.cpp
+++ b/review/2/SlowStreams.cpp
@@ -51,7 +51,9 @@
     return connection.write(head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
-/// Places and handles, which are always to be had, and orders, which find another one in progress.
+std::atomic<bool> g_wasOrdered { false };
+
+/// Places and handles, which are always to be had. The case does not play orders: if one is prepared, it could not run.
 bool serveCall(Connection& connection, const Message& request)
 {
     static std::atomic<int> last { 0 };
@@ -59,11 +61,8 @@
         return answerJson(connection, "", "200 OK", R"({"hold":"h)" + std::to_string(++last) + R"("})");
     if (request.start.rfind("DELETE /-/", 0) == 0)
         return answerJson(connection, "", "200 OK", "{}");
-    if (request.start.rfind("POST /-/order ", 0) == 0)
-        return answerJson(connection, "", "409 Conflict", "{}");
-    return answerJson(connection, "", "200 OK",
-        R"({"stage":"decode","models":[{"name":"m","version":1,"adapters":[]}],"busy":true,"seq":0,"waiting":0,"running":0,"kv_used":0,)"
-        R"("kv_total":40345,"kv_handles":0,"runs":[]})");
+    g_wasOrdered = true;
+    return false;
 }
 
 bool servePrefill(Connection& connection, const Message& request)
@@ -219,8 +218,8 @@
     record.line("sent " + std::to_string(sent) + ", answered in whole " + std::to_string(served) + ", run at two replicas "
         + std::to_string(repeated) + ", TWICE " + std::to_string(doubled));
     record.line(doubled ? "the rule was broken" : "the rule held");
-    bool hasRun = sent > 0 && served * 10 >= sent * 9;
+    bool hasRun = sent > 0 && served * 10 >= sent * 9 && !g_wasOrdered;
     controller.kill();
     gateway.kill();
-    ::_exit(doubled ? exitBroken : hasRun ? exitHeld : exitNotRun);
+    ::_exit(!hasRun ? exitNotRun : doubled ? exitBroken : exitHeld);
 }
--- a/review/support/Site.h
+++ b/review/support/Site.h
@@ -187,6 +187,8 @@
     }
     /// Whether the last readMessage() failed because the other side closed or reset the connection.
     [[nodiscard]] bool hasEnded() const { return m_hasEnded; }
+    /// Whether a part of a message has been read that is not whole yet.
+    [[nodiscard]] bool hasPart() const { return !m_input.empty(); }
 
 private:
     bool wait(short events, int limit) const
@@ -318,13 +320,13 @@
         return true;
     }
     [[nodiscard]] const std::string& name() const { return m_name; }
-    /// Memory in use, in kB.
-    [[nodiscard]] long residentKb() const
+    /// Memory of its own in use, without the files of its program and libraries, in kB.
+    [[nodiscard]] long ownKb() const
     {
         std::ifstream in("/proc/" + std::to_string(m_id) + "/status");
         for (std::string line; std::getline(in, line);) {
-            if (line.rfind("VmRSS:", 0) == 0)
-                return std::atol(line.c_str() + 6);
+            if (line.rfind("RssAnon:", 0) == 0)
+                return std::atol(line.c_str() + 8);
         }
         return 0;
     }
