A deadline of a request acts only at its own instant: streams that progress are not resumed elsewhere

Cause: a request had several deadlines and one wake, an instant without a purpose. checkProgress acted by the request's stage. The hold of a stream's first events (100 ms) left its wake behind when a holder confirmed the record earlier, and at that wake the stream, for which nothing was held any more, counted as stalled.

Now the earliest deadline is computed from the request's state, with what it is for, at each wake; what has not passed only sets the next wake. So no left-over wake can be taken for another deadline, whatever sets one. The same cause elsewhere: the reservation and prefill of an idempotent request to an engine were given up at the time at which a running call counts as slow.

--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -43,8 +43,9 @@
     flow->metadata = event.metadata;
     flow->headers = event.headers;
     flow->lastEventAt = now;
+    flow->isLeftToEnd = false;
     observeAnswer(flow->replica, event.metadata, flow->sentAt, now);
-    scheduleCheck(*flow);
+    scheduleWake(*flow);
 }
 
 void ForwardLogic::on(const AnswerBody& event, Instant now)
@@ -77,9 +78,10 @@
         if (event.id)
             flow.lastEventId = event.id;
         flow.lastEventAt = flow.lastForwardedAt = now;
+        flow.isLeftToEnd = false;
         passOn(flow, StreamBytes { flow.id, std::move(event.bytes) });
     }
-    scheduleCheck(flow);
+    scheduleWake(flow);
 }
 
 void ForwardLogic::beginStream(Flow& flow, Instant now)
@@ -330,7 +332,7 @@
     m_queue.remove(id);
     m_trials.end(id);
     m_awaitingHolders.erase({ flow.stream, id });
-    m_wakes.erase({ flow.nextCheckAt, id });
+    m_wakes.erase({ flow.wakeAt, id });
     m_flows.erase(id);
 }
 
--- a/src/request/forward/ForwardFlow.h
+++ b/src/request/forward/ForwardFlow.h
@@ -22,6 +22,23 @@
         Running,
     };
 
+    /// What a request waits for. Each wait has a deadline of its own.
+    enum class Wait : std::uint8_t {
+        Document, ///< For a routing document.
+        StreamOrigin, ///< For a holder that knows where the caller's stream began.
+        StreamRecord, ///< For a holder to confirm the record of the stream, with its first events held back.
+        Permit, ///< To call a replica with a request rate limit.
+        Reservation, ///< For the reply to a reservation call.
+        Prefill,
+        Answer, ///< For the head of an answer that could still come from another replica in time.
+        StreamEvent, ///< For the next event of a stream that could be resumed at another replica.
+        End, ///< Of the request.
+    };
+    struct Deadline {
+        Instant at;
+        Wait wait = Wait::End;
+    };
+
     RequestId id;
     forward::RequestMetadata request;
     std::shared_ptr<const RouteTable> table; ///< Keeps the route alive when a newer document replaces it.
@@ -32,7 +49,8 @@
     std::string service;
     Instant arrivedAt;
     Instant deadline;
-    Instant nextCheckAt; ///< When to check whether the call makes progress.
+    Instant documentWaitUntil; ///< Until when it waits for a routing document, if there was none when it arrived.
+    Instant wakeAt; ///< When its deadlines are looked at next; not after the earliest of them.
 
     // The call.
     Attempt attempt; ///< Of the newest call; answers to earlier ones are dropped.
@@ -69,6 +87,7 @@
     Instant survivalNotedAt; ///< When the answer was last noted as one under which the replica does not crash.
 
     // The answer to the current call.
+    bool isLeftToEnd = false; ///< It made no progress, and isn't sent again unless something of its answer arrives.
     bool hasHead = false;
     forward::AnswerMetadata metadata;
     HeaderList headers;
--- a/src/request/forward/ForwardLimits.cpp
+++ b/src/request/forward/ForwardLimits.cpp
@@ -127,9 +127,7 @@
         flow.permitWaitUntil = std::min(now + maxPermitWait, flow.deadline);
     }
     m_awaitingPermits.emplace(rankOf(flow), flow.id);
-    m_wakes.erase({ flow.nextCheckAt, flow.id });
-    flow.nextCheckAt = *flow.permitWaitUntil;
-    m_wakes.insert({ flow.nextCheckAt, flow.id });
+    scheduleWake(flow);
     return true;
 }
 
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -132,9 +132,9 @@
     auto until = flow.arrivedAt + std::min(maxDocumentWait, (flow.deadline - flow.arrivedAt) / documentWaitDivisor);
     if (until <= now)
         return refuse(flow, ResultCode::ConfigUnavailable, "no routing document is in effect yet", now);
-    flow.nextCheckAt = until;
-    m_wakes.insert({ until, flow.id });
+    flow.documentWaitUntil = until;
     m_awaitingDocument.push_back(flow.id);
+    scheduleWake(flow);
 }
 
 void ForwardLogic::beginRequestsAwaitingDocument(Instant now)
@@ -142,11 +142,8 @@
     if (m_awaitingDocument.empty() || !isServing(now))
         return;
     for (const auto& id : std::exchange(m_awaitingDocument, {})) {
-        auto it = m_flows.find(id);
-        if (it == m_flows.end())
-            continue;
-        m_wakes.erase({ std::exchange(it->second.nextCheckAt, Instant()), id });
-        begin(it->second, now);
+        if (auto it = m_flows.find(id); it != m_flows.end())
+            begin(it->second, now);
     }
 }
 
@@ -342,7 +339,7 @@
     }
     ++flow.sends;
     m_effects.push_back(std::move(send));
-    scheduleCheck(flow);
+    scheduleWake(flow);
     return true;
 }
 
@@ -354,7 +351,7 @@
     flow.replicaAddress = choice.address;
     flow.sentAt = flow.lastEventAt = now;
     flow.answeringSince.reset();
-    flow.hasHead = false;
+    flow.isLeftToEnd = flow.hasHead = false;
     flow.body.clear();
     flow.splitter.clear();
     m_replicas.begin(flow.replica, reservedTokensOf(flow));
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -250,8 +250,15 @@
     void refuse(Flow&, ResultCode, const std::string& reason, Instant);
     void refuseUntil(Flow&, ResultCode, const std::string& reason, std::optional<Duration> retryAfter, Instant);
     void timeOut(Flow&, Instant);
-    void checkProgress(Flow&, Instant);
-    void scheduleCheck(Flow&);
+    // Deadlines (ForwardTime.cpp).
+    void scheduleWake(Flow&);
+    [[nodiscard]] Flow::Deadline nextDeadline(const Flow&) const;
+    [[nodiscard]] std::optional<Flow::Deadline> callDeadline(const Flow&) const;
+    void wake(Flow&, Instant);
+    void endWait(Flow&, Flow::Wait, Instant);
+    void giveUpReservationCall(Flow&, Instant);
+    void giveUpPrefill(Flow&, Instant);
+    void repeatIfPossible(Flow&, Instant);
     void finish(Flow&, ResultCode, Instant);
     [[nodiscard]] ReplicaTable::Criteria criteriaOf(const Flow&) const;
     [[nodiscard]] std::uint32_t callLimit(const ServiceRule*) const;
@@ -295,7 +302,7 @@
     StreamForecast m_forecast;
     std::optional<Instant> m_shutdownAt; ///< When this process exits; set once shutdown has begun.
     std::unordered_map<RequestId, Flow> m_flows;
-    std::set<std::pair<Instant, RequestId>> m_wakes;
+    std::set<std::pair<Instant, RequestId>> m_wakes; ///< By ForwardFlow::wakeAt.
     Effects m_effects;
 };
 
--- a/src/request/forward/ForwardReservations.cpp
+++ b/src/request/forward/ForwardReservations.cpp
@@ -86,7 +86,7 @@
         auto validFor = std::min(engine.reservationTimeout, maxReservationLifetime);
         m_effects.push_back(ReserveAtReplica { flow.id, flow.attempt, choice.run, choice.address, reservedTokensOf(flow), validFor });
     }
-    scheduleCheck(flow);
+    scheduleWake(flow);
 }
 
 void ForwardLogic::on(const SidecarReservationReply& event, Instant now)
@@ -225,7 +225,7 @@
     Send send { flow.id, flow.attempt, choice->run, choice->address, flow.deadline - now, std::nullopt, true, std::nullopt, {}, {}, {} };
     send.account = accountOf(flow);
     m_effects.push_back(std::move(send));
-    scheduleCheck(flow);
+    scheduleWake(flow);
     return true;
 }
 
--- a/src/request/forward/ForwardStreams.cpp
+++ b/src/request/forward/ForwardStreams.cpp
@@ -109,8 +109,7 @@
     m_awaitingHolders.emplace(flow.stream, flow.id);
     for (auto holder : m_streams.holders())
         askHolder(flow, holder);
-    flow.nextCheckAt = std::min(flow.lookup->until, flow.deadline);
-    m_wakes.insert({ flow.nextCheckAt, flow.id });
+    scheduleWake(flow);
     refuseIfLookupEnded(flow, now);
 }
 
@@ -175,7 +174,6 @@
 {
     flow.lookup.reset();
     m_awaitingHolders.erase({ flow.stream, flow.id });
-    m_wakes.erase({ std::exchange(flow.nextCheckAt, Instant()), flow.id });
 }
 
 void ForwardLogic::resumeAt(Flow& flow, const StreamLookupReply& reply, Instant now)
--- a/src/request/forward/ForwardTime.cpp
+++ b/src/request/forward/ForwardTime.cpp
@@ -1,5 +1,8 @@
 /** \file
- * The part of ForwardLogic for time: when to check a request next, and what to do if its call makes no progress.
+ * The part of ForwardLogic for time: the deadlines of a request, and what to do when one has passed.
+ *
+ * A request has several deadlines at once. Its next wake is at the earliest of them; on a wake they are computed anew, and only one that
+ * has passed is acted on.
  */
 #include "request/forward/ForwardLogic.h"
 
@@ -12,9 +15,10 @@
 namespace {
 
     /// An idempotent call without an answer is sent to another replica after this share of its target, so that the second answer can
-    /// still be in time. It must also have taken four times the mean latency.
+    /// still be in time.
     constexpr double retryAfterTargetShare = 0.55;
-    constexpr double retryAfterMeanMultiple = 4;
+    /// A call isn't slow before it has taken the mean latency times this.
+    constexpr double slowCallMeanMultiple = 4;
     /// A resumable stream without an event for this long is resumed at another replica. Callers time out after two seconds at the earliest.
     constexpr Duration streamStallTimeout = 1400ms;
     /// A replica replies to a reservation within a round trip. One that has become unreachable while an idle connection to it is open
@@ -26,31 +30,51 @@
 
 } // namespace
 
-void ForwardLogic::scheduleCheck(Flow& flow)
+void ForwardLogic::scheduleWake(Flow& flow)
 {
-    auto nextCheckAt = flow.deadline;
-    if (flow.isCalling && flow.stage == Flow::Stage::Prefilling) {
-        auto byMeanLatency = fromSeconds(m_replicas.meanSeconds(flow.service, UpstreamKind::Prefill) * retryAfterMeanMultiple);
-        nextCheckAt = std::min(nextCheckAt, flow.sentAt + std::max(prefillTimeout, byMeanLatency));
-    }
-    if (flow.isCalling && flow.stage == Flow::Stage::Reserving)
-        nextCheckAt = std::min(nextCheckAt, flow.sentAt + reservationReplyTimeout);
+    auto at = nextDeadline(flow).at;
+    if (at == flow.wakeAt)
+        return;
+    m_wakes.erase({ flow.wakeAt, flow.id });
+    flow.wakeAt = at;
+    m_wakes.insert({ at, flow.id });
+}
+
+/// The earliest deadline among all that the request waits for now.
+ForwardFlow::Deadline ForwardLogic::nextDeadline(const Flow& flow) const
+{
+    if (!flow.route)
+        return { flow.documentWaitUntil, Flow::Wait::Document };
+    Flow::Deadline next { flow.deadline, Flow::Wait::End };
+    auto consider = [&next](const Flow::Deadline& other) { next = other.at < next.at ? other : next; };
+    if (flow.lookup)
+        consider({ flow.lookup->until, Flow::Wait::StreamOrigin });
     if (flow.eventsHeldUntil)
-        nextCheckAt = std::min(nextCheckAt, *flow.eventsHeldUntil);
-    bool isIdempotentCall = flow.route->repeatability == Repeatability::Idempotent && !flow.hasHead && flow.isCalling;
-    bool isResumable = flow.route->repeatability == Repeatability::Resumable && flow.hasStreamStarted && flow.isCalling;
-    if (isIdempotentCall) {
+        consider({ *flow.eventsHeldUntil, Flow::Wait::StreamRecord });
+    if (flow.permitWaitUntil && m_awaitingPermits.contains({ rankOf(flow), flow.id }))
+        consider({ *flow.permitWaitUntil, Flow::Wait::Permit });
+    if (auto call = callDeadline(flow))
+        consider(*call);
+    return next;
+}
+
+/// When the current call counts as making no progress; nothing: it is left to end.
+std::optional<ForwardFlow::Deadline> ForwardLogic::callDeadline(const Flow& flow) const
+{
+    if (!flow.isCalling || flow.isLeftToEnd)
+        return std::nullopt;
+    auto byMeanLatency = [&](UpstreamKind kind) { return fromSeconds(m_replicas.meanSeconds(flow.service, kind) * slowCallMeanMultiple); };
+    if (flow.stage == Flow::Stage::Reserving)
+        return Flow::Deadline { flow.sentAt + reservationReplyTimeout, Flow::Wait::Reservation };
+    if (flow.stage == Flow::Stage::Prefilling)
+        return Flow::Deadline { flow.sentAt + std::max(prefillTimeout, byMeanLatency(UpstreamKind::Prefill)), Flow::Wait::Prefill };
+    if (flow.route->repeatability == Repeatability::Idempotent && !flow.hasHead) {
         auto byTargetShare = fromSeconds(toSeconds(flow.route->target) * retryAfterTargetShare);
-        auto byMeanLatency = fromSeconds(m_replicas.meanSeconds(flow.service, UpstreamKind::Plain) * retryAfterMeanMultiple);
-        nextCheckAt = std::min(nextCheckAt, flow.sentAt + std::max(byTargetShare, byMeanLatency));
-    } else if (isResumable) {
-        nextCheckAt = std::min(nextCheckAt, flow.lastEventAt + streamStallTimeout);
+        return Flow::Deadline { flow.sentAt + std::max(byTargetShare, byMeanLatency(UpstreamKind::Plain)), Flow::Wait::Answer };
     }
-    if (nextCheckAt == flow.nextCheckAt)
-        return;
-    m_wakes.erase({ flow.nextCheckAt, flow.id });
-    flow.nextCheckAt = nextCheckAt;
-    m_wakes.insert({ nextCheckAt, flow.id });
+    if (flow.route->repeatability == Repeatability::Resumable && flow.hasStreamStarted)
+        return Flow::Deadline { flow.lastEventAt + streamStallTimeout, Flow::Wait::StreamEvent };
+    return std::nullopt;
 }
 
 void ForwardLogic::on(const Tick&, Instant now)
@@ -68,51 +92,75 @@
     while (!m_wakes.empty() && m_wakes.begin()->first <= now) {
         auto id = m_wakes.begin()->second;
         m_wakes.erase(m_wakes.begin());
-        auto it = m_flows.find(id);
-        if (it == m_flows.end())
-            continue;
-        it->second.nextCheckAt = {};
-        if (!it->second.route)
-            refuse(it->second, ResultCode::ConfigUnavailable, "no routing document is in effect yet", now);
-        else if (it->second.deadline <= now)
-            timeOut(it->second, now);
-        else
-            checkProgress(it->second, now);
+        if (auto it = m_flows.find(id); it != m_flows.end()) {
+            it->second.wakeAt = {};
+            wake(it->second, now);
+        }
     }
 }
 
-/// The current call makes no progress: continues at another replica if the route and the budget allow it, else waits for its end.
-void ForwardLogic::checkProgress(Flow& flow, Instant now)
+/// A wake may be left from a deadline that no longer counts, so it says nothing about what has come due.
+void ForwardLogic::wake(Flow& flow, Instant now)
+{
+    auto due = nextDeadline(flow);
+    if (due.at > now)
+        return scheduleWake(flow);
+    bool hasEnded = flow.route && flow.deadline <= now;
+    endWait(flow, hasEnded ? Flow::Wait::End : due.wait, now);
+}
+
+/// What the request waits for has not come in time.
+void ForwardLogic::endWait(Flow& flow, Flow::Wait wait, Instant now)
 {
-    if (flow.lookup) {
+    switch (wait) {
+    case Flow::Wait::Document:
+        return refuse(flow, ResultCode::ConfigUnavailable, "no routing document is in effect yet", now);
+    case Flow::Wait::StreamOrigin:
         endLookup(flow);
         return refuseIncompleteLookup(flow, now);
-    }
-    if (flow.eventsHeldUntil && *flow.eventsHeldUntil <= now) {
+    case Flow::Wait::StreamRecord:
         m_streams.notReplied(flow.stream, now);
         passOnHeldEvents(flow);
-        return scheduleCheck(flow);
-    }
-    if (m_awaitingPermits.erase({ rankOf(flow), flow.id }))
-        return runOrFail(flow, now);
-    if (flow.isCalling && flow.stage == Flow::Stage::Reserving) {
-        m_effects.push_back(CancelCall { flow.id, flow.attempt });
-        endSidecarReservation(flow, false);
-        return on(ReservationRefused { flow.id, flow.attempt, false }, now);
-    }
-    if (flow.isCalling && flow.stage == Flow::Stage::Prefilling) {
-        m_effects.push_back(CancelCall { flow.id, flow.attempt });
-        endCall(flow, CallOutcome::Failed, now);
+        return scheduleWake(flow);
+    case Flow::Wait::Permit:
+        m_awaitingPermits.erase({ rankOf(flow), flow.id });
         return runOrFail(flow, now);
+    case Flow::Wait::Reservation:
+        return giveUpReservationCall(flow, now);
+    case Flow::Wait::Prefill:
+        return giveUpPrefill(flow, now);
+    case Flow::Wait::Answer:
+    case Flow::Wait::StreamEvent:
+        return repeatIfPossible(flow, now);
+    case Flow::Wait::End:
+        return timeOut(flow, now);
     }
+}
+
+void ForwardLogic::giveUpReservationCall(Flow& flow, Instant now)
+{
+    m_effects.push_back(CancelCall { flow.id, flow.attempt });
+    endSidecarReservation(flow, false);
+    on(ReservationRefused { flow.id, flow.attempt, false }, now);
+}
+
+void ForwardLogic::giveUpPrefill(Flow& flow, Instant now)
+{
+    m_effects.push_back(CancelCall { flow.id, flow.attempt });
+    endCall(flow, CallOutcome::Failed, now);
+    runOrFail(flow, now);
+}
+
+/// The current call makes no progress: continues at another replica if the route and the budget allow it, else waits for its end.
+void ForwardLogic::repeatIfPossible(Flow& flow, Instant now)
+{
     // While replicas are full, a second call would only make both late.
-    bool isOverloaded = flow.stage == Flow::Stage::Running && m_shedder.refusedShare(flow.service) > 0;
-    bool mayGoOn = !isOverloaded && flow.isCalling && flow.stage == Flow::Stage::Running && flow.runs + 1 < flow.route->maxAttempts
-        && flow.sends < maxSends && !crashesReplicas(flow, now) && choose(flow, criteriaOf(flow), flow.tried, now);
-    if (!mayGoOn || !takeRetry(flow, now)) {
-        flow.nextCheckAt = flow.deadline;
-        m_wakes.insert({ flow.nextCheckAt, flow.id });
-        return;
+    bool isOverloaded = m_shedder.refusedShare(flow.service) > 0;
+    bool isPossible = !isOverloaded && flow.runs + 1 < flow.route->maxAttempts && flow.sends < maxSends && !crashesReplicas(flow, now)
+        && choose(flow, criteriaOf(flow), flow.tried, now);
+    if (!isPossible || !takeRetry(flow, now)) {
+        flow.isLeftToEnd = true;
+        return scheduleWake(flow);
     }
     m_effects.push_back(CancelCall { flow.id, flow.attempt });
     endCall(flow, CallOutcome::Failed, now);
