A request that waits for a reservation is refused at its deadline

What callers saw: where no engine can be asked (all at their share of connections, or at limits that they state), a request whose caller waits for less time than its target was held beyond its caller's deadline, up to the latest time for a reservation, and a prefill could be sent for it then.

Cause: entering the reservation queue set no wake; the end of a request was looked at only once a call had been made. Seen on reading every place that set one. Now entering and re-entering the queue do. The test (a queue without any call: refused at 300 ms) failed before: no refusal by then. 467 unit cases pass.

--- a/src/request/forward/ForwardReservations.cpp
+++ b/src/request/forward/ForwardReservations.cpp
@@ -47,6 +47,7 @@
     flow.waiter = ReservationQueue::makeWaiter(flow.id, rankOf(flow), flow.arrivedAt, admitBy(flow), now);
     m_queue.add(flow.waiter);
     m_shouldAdmit = true;
+    scheduleWake(flow);
     return true;
 }
 
@@ -144,6 +145,7 @@
     flow.stage = Flow::Stage::Waiting;
     m_queue.add(flow.waiter);
     m_shouldAdmit = true;
+    scheduleWake(flow);
 }
 
 void ForwardLogic::refuseExpired(Instant now)
--- a/test/correctness/ForwardDeadlineTest.cpp
+++ b/test/correctness/ForwardDeadlineTest.cpp
@@ -124,6 +124,25 @@
     CHECK(firstCancel(bench, 1s) == sentAt + prefillTimeout);
 }
 
+TEST_CASE("a request that waits for a reservation is refused at its deadline, also if it could still meet its target")
+{
+    // Guards against a caller that is kept waiting, and a prefill that is sent, after its deadline.
+    Bench bench;
+    auto changed = document(2);
+    changed.services.back().maxConnections = 1;
+    bench.serve().replica("d1", UpstreamKind::Decode).post(DocumentReceived { changed, true });
+    bench.submit("/stream/x", 14s);
+    auto reserve = bench.only<ReserveAtReplica>();
+    bench.post(ReservationGranted { reserve.id, reserve.attempt, "reservation-1" });
+    bench.submit("/resumable/x", 300ms);
+    CHECK(bench.effects<ReserveAtReplica>().empty());
+    auto end = bench.now + 300ms;
+    while (bench.now < end && bench.effects<Refuse>().empty())
+        bench.wait(std::max(std::min(bench.logic().nextWake(), end) - bench.now, Duration::zero()));
+    CHECK(bench.now == end);
+    CHECK(httpStatusOf(bench.only<Refuse>().error.code) == 503);
+}
+
 namespace {
 
 /// A gateway's calls under random events, each checked against the deadline of what it is for.
