A gateway bounds what it keeps of all answers in progress, and of one event

What callers saw: with a replica whose answers do not end, all of them: the gateway is over its machine's memory and is ended with every request in progress.

Cause: whole answers were bounded one by one (16 MiB), so seven of them were the memory of an instance; an event without a blank line was not bounded at all, and searched anew from its start with each 4 KB that came.

Now all bytes that are kept of answers (bodies, the event that is not complete, events that are held back) count against one budget of 16 MiB; beyond it the answer with the most bytes is given up, its replica counts as having failed, and its caller gets another replica's answer, a failure, or a broken stream. So sound answers, which are small, are spared, however many faulty ones there are. An event may have 1 MiB. The search goes on where it ended. A limit each for all of them was weighed: it would have to be some 20 KB for 700 streams.

--- a/src/request/forward/EventSplitter.cpp
+++ b/src/request/forward/EventSplitter.cpp
@@ -27,14 +27,20 @@
         return std::nullopt;
     }
 
-    /// \returns the length of the event at the start of `text`, including its blank line, or npos if it is incomplete.
-    std::size_t endOfEvent(std::string_view text)
+    /// Length of `\r\n\r\n`, in bytes.
+    constexpr std::size_t longestEnd = 4;
+
+    /// \param from where to search from. \returns the length of the event at the start of `text`, including its blank line, or npos if it
+    /// is incomplete.
+    std::size_t endOfEvent(std::string_view text, std::size_t from)
     {
-        auto lf = text.find("\n\n");
-        auto crlf = text.find("\r\n\r\n");
-        if (crlf != std::string_view::npos && (lf == std::string_view::npos || crlf < lf))
-            return crlf + 4;
-        return lf == std::string_view::npos ? lf : lf + 2;
+        for (auto at = text.find('\n', from); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+            bool isBlank = at > 0 && text[at - 1] == '\n';
+            bool isBlankCrLf = at > 2 && text.substr(at - 3, longestEnd) == "\r\n\r\n";
+            if (isBlank || isBlankCrLf)
+                return at + 1;
+        }
+        return std::string_view::npos;
     }
 
 } // namespace
@@ -44,11 +50,12 @@
     m_rest += bytes;
     std::vector<StreamEvent> events;
     std::string_view text = m_rest;
-    for (auto n = endOfEvent(text); n != std::string_view::npos; n = endOfEvent(text)) {
+    for (auto n = endOfEvent(text, m_searched); n != std::string_view::npos; n = endOfEvent(text, 0)) {
         events.push_back({ std::string(text.substr(0, n)), idOf(text.substr(0, n)) });
         text.remove_prefix(n);
     }
     m_rest.erase(0, m_rest.size() - text.size());
+    m_searched = m_rest.size();
     return events;
 }
 
--- a/src/request/forward/EventSplitter.h
+++ b/src/request/forward/EventSplitter.h
@@ -25,10 +25,15 @@
     std::vector<StreamEvent> push(std::string_view bytes);
     /// The bytes after the last complete event.
     [[nodiscard]] const std::string& rest() const { return m_rest; }
-    void clear() { m_rest.clear(); }
+    void clear()
+    {
+        m_rest = {};
+        m_searched = 0;
+    }
 
 private:
     std::string m_rest;
+    std::size_t m_searched = 0; ///< The end of the first event of m_rest is not before this.
 };
 
 } // namespace wrenhinge
--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-    /// Size limit of an answer that is buffered completely. Answers in use have a few thousand bytes.
-    constexpr std::size_t maxBufferedAnswerBytes = 16u << 20;
     /// Retry-After is the caller's remaining time divided by this. Callers heed up to a third; a quarter leaves time for the transfer.
     constexpr int retryAfterDivisor = 4;
     constexpr Duration minRetryAfter = 40ms;
@@ -57,11 +55,8 @@
     if (isEvents)
         return forwardEvents(*flow, event.bytes, now);
     flow->body += event.bytes;
-    if (flow->body.size() > maxBufferedAnswerBytes) {
-        m_effects.push_back(CancelCall { flow->id, flow->attempt });
-        endCall(*flow, CallOutcome::Failed, now);
-        resendOrFail(*flow, true, "the answer exceeds the size limit", now);
-    }
+    noteBuffered(*flow);
+    giveUpLargestAnswers(now);
 }
 
 void ForwardLogic::forwardEvents(Flow& flow, std::string bytes, Instant now)
@@ -82,6 +77,34 @@
         passOn(flow, StreamBytes { flow.id, std::move(event.bytes) });
     }
     scheduleWake(flow);
+    if (flow.splitter.rest().size() > maxEventBytes)
+        return giveUpAnswer(flow, "an event of the stream exceeds the size limit", now);
+    noteBuffered(flow);
+    giveUpLargestAnswers(now);
+}
+
+/// Updates how much is buffered of the answer to the current call.
+void ForwardLogic::noteBuffered(const Flow& flow)
+{
+    m_buffered.set(flow.id, flow.body.size() + flow.splitter.rest().size() + flow.heldBytes);
+}
+
+void ForwardLogic::giveUpLargestAnswers(Instant now)
+{
+    for (auto id = m_buffered.excess(); id; id = m_buffered.excess())
+        giveUpAnswer(m_flows.at(*id), "the answers in progress need more memory than there is, this one most", now);
+}
+
+/// The replica sends more than can be an answer.
+void ForwardLogic::giveUpAnswer(Flow& flow, const std::string& reason, Instant now)
+{
+    m_effects.push_back(CancelCall { flow.id, flow.attempt });
+    endCall(flow, CallOutcome::Failed, now);
+    flow.body = {};
+    flow.splitter.clear();
+    passOnHeldEvents(flow);
+    noteBuffered(flow);
+    resendOrFail(flow, true, reason, now);
 }
 
 void ForwardLogic::beginStream(Flow& flow, Instant now)
@@ -332,6 +355,7 @@
     m_queue.remove(id);
     m_trials.end(id);
     m_awaitingHolders.erase({ flow.stream, id });
+    m_buffered.set(id, 0);
     m_wakes.erase({ flow.wakeAt, id });
     m_flows.erase(id);
 }
--- a/src/request/forward/ForwardFlow.h
+++ b/src/request/forward/ForwardFlow.h
@@ -107,6 +107,7 @@
     std::string softwareVersion; ///< Of the replica, when the current call was sent; empty: not known.
     std::optional<Instant> eventsHeldUntil; ///< Set while no holder has confirmed the record of the stream.
     std::vector<forward::Effect> heldEvents; ///< To be passed on then.
+    std::size_t heldBytes = 0; ///< Of these.
     bool hasStreamStarted = false;
     EventSplitter splitter;
     std::optional<std::uint64_t> lastEventId;
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -352,8 +352,9 @@
     flow.sentAt = flow.lastEventAt = now;
     flow.answeringSince.reset();
     flow.isLeftToEnd = flow.hasHead = false;
-    flow.body.clear();
+    flow.body = {};
     flow.splitter.clear();
+    noteBuffered(flow);
     m_replicas.begin(flow.replica, reservedTokensOf(flow));
     logCall(flow);
 }
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -21,6 +21,7 @@
  */
 #pragma once
 
+#include "base/BufferBudget.h"
 #include "request/engine/EngineLoad.h"
 #include "request/fleet/ConvictionTrials.h"
 #include "request/fleet/CrashTracker.h"
@@ -80,6 +81,10 @@
     static constexpr Duration minOverloadRetryAfter = 2500ms;
     /// For how long gateways that have ended may still have calls in progress.
     static constexpr Duration gatewayMemory = 10s;
+    /// Limit of what is buffered of all answers in progress: a seventh of the memory of the smallest instances.
+    static constexpr std::size_t maxBufferedBytes = 16u << 20;
+    /// Size limit of one event of a stream. Events in use have some hundred bytes.
+    static constexpr std::size_t maxEventBytes = 1u << 20;
     /// Maximum number of sends of one request, including those that a replica did not run.
     static constexpr std::uint32_t maxSends = 4;
 
@@ -245,6 +250,9 @@
     void endCall(Flow&, CallOutcome, Instant);
     void abandonCall(Flow&, Instant);
     void forwardEvents(Flow&, std::string bytes, Instant);
+    void noteBuffered(const Flow&);
+    void giveUpLargestAnswers(Instant);
+    void giveUpAnswer(Flow&, const std::string& reason, Instant);
     void beginStream(Flow&, Instant);
     void endStream(Flow&, Instant);
     void refuse(Flow&, ResultCode, const std::string& reason, Instant);
@@ -300,6 +308,7 @@
     bool m_hasNewConviction = false; ///< Requests with convicted content that have not run are refused at the end of the step.
     LoadShedder m_shedder; ///< For plain services; engines have reservations.
     StreamForecast m_forecast;
+    BufferBudget<RequestId> m_buffered { maxBufferedBytes };
     std::optional<Instant> m_shutdownAt; ///< When this process exits; set once shutdown has begun.
     std::unordered_map<RequestId, Flow> m_flows;
     std::set<std::pair<Instant, RequestId>> m_wakes; ///< By ForwardFlow::wakeAt.
--- a/src/request/forward/ForwardStreams.cpp
+++ b/src/request/forward/ForwardStreams.cpp
@@ -45,10 +45,11 @@
 
 void ForwardLogic::passOn(Flow& flow, Effect effect)
 {
-    if (flow.eventsHeldUntil)
-        flow.heldEvents.push_back(std::move(effect));
-    else
-        m_effects.push_back(std::move(effect));
+    if (!flow.eventsHeldUntil)
+        return m_effects.push_back(std::move(effect));
+    if (const auto* bytes = std::get_if<StreamBytes>(&effect))
+        flow.heldBytes += bytes->bytes.size();
+    flow.heldEvents.push_back(std::move(effect));
 }
 
 void ForwardLogic::passOnHeldEvents(Flow& flow)
@@ -58,6 +59,8 @@
     m_awaitingHolders.erase({ flow.stream, flow.id });
     std::move(flow.heldEvents.begin(), flow.heldEvents.end(), std::back_inserter(m_effects));
     flow.heldEvents.clear();
+    flow.heldBytes = 0;
+    noteBuffered(flow);
 }
 
 void ForwardLogic::on(const StreamHolderConnected& event, Instant now)
