What waits for callers that do not read is bounded

Now the bytes that wait for all callers count against a budget, 16 MiB at a gateway; beyond it the connection with the most of them is closed, so its call is cancelled at the replica. Callers that read slowly keep their answers as long as there is memory. Beside it: a chunk header without end in a request is refused with 431 (it was kept), and a stated length beyond the limit with 413 (400 before: an eager parser of Beast passes over that error). Three tests in HttpTest; that of the stated length passed before, by another status.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -126,6 +126,9 @@
         close();
     }
 
+    /// The caller doesn't read what it has asked for.
+    void disconnect() { close(); }
+
     /// Closes the sending side first, so that the caller sees an end of file and not a reset.
     void closeGently()
     {
@@ -133,6 +136,7 @@
             return;
         leave(State::Lingering);
         m_output.clear();
+        noteUnsent();
         ErrorCode ignored;
         m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
         m_timer.start(lingerTime, [self = shared_from_this()] { self->close(); });
@@ -224,6 +228,8 @@
             auto n = m_parser->put(m_input.data(), ec);
             m_input.consume(n);
             if (m_parser->is_header_done() && !hadHeader) {
+                // Not before: an eager parser ignores that the stated length exceeds the limit, and allocates that much.
+                m_parser->eager(true);
                 if (auto fault = framingFault(m_parser->get()))
                     return refuse(400, *fault);
                 limitTime(m_server.m_limits.idleTime, &Connection::bodyTimeEnded);
@@ -235,6 +241,9 @@
             return refuse(statusOf(ec), ec.message());
         if (m_parser->is_done())
             return dispatch();
+        // What is left for want of more bytes is the start of a head or of a chunk's header.
+        if (m_input.size() > std::max(readAheadLimit, m_server.m_limits.headerBytes))
+            return refuse(statusOf(http::error::header_limit), "the header of a chunk exceeds the size limit");
         if (m_parser->is_header_done() && !m_sentContinue && m_parser->get().count(http::field::expect)) {
             m_sentContinue = true;
             send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -247,7 +256,6 @@
         m_state = State::Reading;
         m_startedAt = currentInstant();
         m_parser.emplace();
-        m_parser->eager(true);
         m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.headerBytes));
         m_parser->body_limit(m_server.m_limits.bodyBytes);
         limitTime(m_server.m_limits.headerTime, &Connection::headerTimeEnded);
@@ -302,6 +310,9 @@
 
     void finish()
     {
+        // Sending the last bytes may have closed the connection, as too many wait for this caller.
+        if (m_state != State::Answering)
+            return;
         onGone = nullptr;
         // The head of a long answer may have been sent, without `Connection: close`, before the server began to close. If the connection
         // stayed open, it would receive another request that can't be answered in time.
@@ -323,11 +334,18 @@
 
     void send(std::string bytes)
     {
-        m_output += bytes;
+        if (m_output.empty())
+            m_output = std::move(bytes);
+        else
+            m_output += bytes;
         if (!m_isWriting)
             flush();
+        noteUnsent();
+        m_server.closeLargestUnsent();
     }
 
+    void noteUnsent() { m_server.m_unsent.set(this, m_state == State::Closed ? 0 : m_output.size() + m_inFlight.size()); }
+
     void flush()
     {
         m_isWriting = true;
@@ -335,8 +353,10 @@
         m_output.clear();
         boost::asio::async_write(m_socket, boost::asio::buffer(m_inFlight), [self = shared_from_this()](ErrorCode ec, std::size_t) {
             self->m_isWriting = false;
+            self->m_inFlight = {};
             if (self->m_state == State::Closed)
                 return;
+            self->noteUnsent();
             if (ec)
                 return self->close();
             if (!self->m_output.empty())
@@ -357,6 +377,7 @@
         ErrorCode ignored;
         m_socket.close(ignored);
         m_server.m_connections.erase(self);
+        m_server.m_unsent.set(this, 0);
         leave(State::Closed);
     }
 
@@ -407,7 +428,11 @@
     return bound;
 }
 
-void HttpServer::setLimits(const Limits& limits) { m_limits = limits; }
+void HttpServer::setLimits(const Limits& limits)
+{
+    m_limits = limits;
+    m_unsent.setLimit(limits.unsentBytes);
+}
 
 void HttpServer::accept()
 {
@@ -428,6 +453,12 @@
     });
 }
 
+void HttpServer::closeLargestUnsent()
+{
+    for (auto largest = m_unsent.excess(); largest; largest = m_unsent.excess())
+        (*largest)->disconnect();
+}
+
 void HttpServer::closeIdle()
 {
     ErrorCode ignored;
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -6,10 +6,14 @@
  * parsers could read differently (both a length and chunks, two lengths, an unknown transfer coding, no host or two) is refused, since
  * its body could contain a second request (request smuggling).
  *
+ * A caller may read slower than its answer arrives, or not at all. If the bytes that wait for all callers exceed a limit, the connection
+ * with the most of them is closed.
+ *
  * Runs on the strand passed to it.
  */
 #pragma once
 
+#include "base/BufferBudget.h"
 #include "base/ResultCode.h"
 #include "connection/Asio.h"
 #include "message/Messages.h"
@@ -54,6 +58,7 @@
         Duration headerTime = 10s;
         Duration idleTime = 60s;
         std::size_t connections = 3500;
+        std::size_t unsentBytes = 64u << 20; ///< That wait for all callers together.
     };
     using Handler = std::function<void(HttpRequest&&, std::shared_ptr<HttpAnswer>)>;
 
@@ -73,12 +78,14 @@
 private:
     class Connection;
     void accept();
+    void closeLargestUnsent();
 
     Strand m_strand;
     Handler m_handler;
     Limits m_limits;
     Tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Connection>> m_connections;
+    BufferBudget<Connection*> m_unsent { m_limits.unsentBytes };
     bool m_isClosing = false;
     bool m_isClosed = false; ///< Each connection is closed when its request in progress ends.
 };
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -33,6 +33,8 @@
     /// New requests are accepted for this long after SIGTERM: a load balancer needs up to two failed readiness checks, one second apart,
     /// to redirect callers.
     static constexpr Duration drainAcceptPeriod = 2600ms;
+    /// Limit of what waits for callers that read slowly: a seventh of the memory of the smallest instances.
+    static constexpr std::size_t maxUnsentBytes = 16u << 20;
 
     ForwardRole(const Settings& settings, Runtime& runtime)
         : m_settings(settings)
@@ -232,6 +234,7 @@
         limits.headerTime = set.limits.headerTime;
         limits.idleTime = set.limits.idleTime;
         limits.connections = m_settings.callers.connectionLimit;
+        limits.unsentBytes = maxUnsentBytes;
         m_callers.setLimits(limits);
     }
 
--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -686,6 +686,54 @@
     CHECK(outcome.mayHaveRun);
 }
 
+TEST_CASE("a request that states more bytes than it may have is refused")
+{
+    // Guards against a gateway that ends because it can't set aside what a caller announces.
+    for (const std::string length : { "8000001", "99999999999", "18446744073709551615", "99999999999999999999" }) {
+        Server server(echo);
+        Client client(server.address());
+        client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + length + "\r\n\r\nbody");
+        CHECK(client.readAll().starts_with("HTTP/1.1 4"));
+    }
+}
+
+TEST_CASE("a request whose chunk header does not end is refused")
+{
+    Server server(echo);
+    Client client(server.address());
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;" + std::string(1u << 17, 'x'));
+    CHECK(client.readAll().starts_with("HTTP/1.1 431"));
+}
+
+TEST_CASE("of callers that do not read, the one with most bytes waiting is disconnected")
+{
+    // Guards against a process that runs out of memory over callers that stop to read, and against cutting off others for them.
+    HttpServer::Limits limits;
+    limits.unsentBytes = 32u << 20;
+    HandRunServer server(limits);
+    std::vector<std::unique_ptr<Client>> clients;
+    for (std::size_t i = 0; i < 3; ++i) {
+        clients.push_back(std::make_unique<Client>(server.address));
+        clients.back()->send(get("/"));
+        server.awaitRequests(i + 1);
+    }
+    std::vector<bool> hasGone(3);
+    for (std::size_t i = 0; i < 3; ++i) {
+        server.answers[i]->onGone = [&hasGone, i] { hasGone[i] = true; };
+        server.answers[i]->begin(200, {});
+    }
+    constexpr std::size_t manyBytes = 18u << 20; // More than the buffers of both sides take.
+    server.answers[0]->write(std::string(manyBytes, 'x'));
+    server.answers[1]->write("small");
+    server.run();
+    CHECK(hasGone == std::vector<bool> { false, false, false });
+    server.answers[2]->write(std::string(2 * manyBytes, 'x'));
+    CHECK(hasGone == std::vector<bool> { false, false, true });
+    server.answers[1]->end();
+    server.run();
+    CHECK(clients[1]->readTo("0\r\n\r\n").ends_with("5\r\nsmall\r\n0\r\n\r\n"));
+}
+
 TEST_CASE("a stream is cut into whole events, wherever its bytes are split")
 {
     std::string text = "id: 7\ndata: a\n\nid: 8\r\ndata: b\r\n\r\n: note\n\n";
