A call to a replica fails once its bytes can be no answer: a stated length, a body, heads and chunk headers without end

What callers saw: one answer with "Content-Length:" ended the gateway with all its requests (std::bad_alloc; platform-endless on the code before): the body's limit was none, and Beast sets the stated length aside. Endless interim (1xx) heads, answers to a former call and chunk headers were read or kept for as long as the caller waited, and those to the gateway's own calls (reservations, releases, reports) for ever.

Now each call has limits: 8 MiB for an answer, 1 MiB for those to own calls and for all that precedes an answer on its connection, 64 KiB for a head or chunk header; and calls that nobody waits for a time limit. The limit of a stated length holds only if the parser becomes eager after the head: an eager one goes on over that error (seen: still ended, with the limit set). Own calls that end by their limit fail instead of ending as truncated ones. HttpTest: six kinds of bytes without end, stated lengths, the time limit.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
-#include <limits>
 
 namespace wrenhinge {
 
@@ -19,6 +18,8 @@
     using ResponseParser = http::response_parser<http::string_body>;
 
     constexpr std::uint32_t answerHeaderLimit = 64 * 1024;
+    /// Limit of what precedes the answer on its connection: interim answers, and late answers to former calls.
+    constexpr std::size_t precedingBytesLimit = 1u << 20;
     /// A connection with unacknowledged bytes or probes fails after this long. Callers give up a stream after 3.6 s.
     constexpr int upstreamSilenceMs = 3000;
 
@@ -44,6 +45,7 @@
         , m_replica(std::move(replica))
         , m_socket(strand)
         , m_timer(strand)
+        , m_callTimer(strand)
     {
     }
 
@@ -80,7 +82,10 @@
         m_isWritten = false;
         m_mayHaveRun = false;
         m_keepAlive = true;
+        m_precedingBytes = 0;
         expectAnswer();
+        if (m_handlers.timeLimit)
+            m_callTimer.start(*m_handlers.timeLimit, [self = shared_from_this()] { self->fail("no answer in time"); });
         if (!m_isConnected)
             return m_call;
         // Nothing may be reported before this function returns the call's number.
@@ -108,6 +113,7 @@
             return;
         m_isClosed = true;
         m_timer.cancel();
+        m_callTimer.cancel();
         ErrorCode ignored;
         m_socket.close(ignored);
     }
@@ -119,9 +125,8 @@
     void expectAnswer()
     {
         m_parser.emplace();
-        m_parser->eager(true);
         m_parser->header_limit(answerHeaderLimit);
-        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        m_parser->body_limit(m_handlers.bodyLimit);
         if (m_request.isHead)
             m_parser->skip(true);
         m_hasHead = false;
@@ -191,8 +196,13 @@
             ErrorCode ec;
             auto n = m_parser->put(m_input.data(), ec);
             m_input.consume(n);
+            if (ec == http::error::body_limit)
+                return fail("the answer exceeds the size limit");
             if (ec && ec != http::error::need_more)
                 return fail("the received bytes are not an HTTP response: " + ec.message());
+            m_precedingBytes += !m_hasHead || m_isSkipping ? n : 0;
+            if (m_precedingBytes > precedingBytesLimit)
+                return fail("more bytes than allowed precede the answer");
             if (m_parser->is_header_done() && !m_hasHead && !takeHead())
                 continue;
             passBody();
@@ -206,14 +216,23 @@
                 return finish();
             }
             if (ec == http::error::need_more)
-                return;
+                return failIfUnparsed();
         }
     }
 
+    /// What is left for want of more bytes is the start of a head or of a chunk's header.
+    void failIfUnparsed()
+    {
+        if (m_input.size() > answerHeaderLimit)
+            fail("the header of a chunk exceeds the size limit");
+    }
+
     /// \returns false for an interim (1xx) answer.
     bool takeHead()
     {
         m_hasHead = true;
+        // Not before: an eager parser ignores that the stated length exceeds the limit, and allocates that much.
+        m_parser->eager(true);
         const auto& message = m_parser->get();
         if (message.result_int() / 100 == 1) {
             expectAnswer();
@@ -249,6 +268,7 @@
     {
         auto handlers = std::exchange(m_handlers, {});
         m_isBusy = false;
+        m_callTimer.cancel();
         bool isReusable = m_keepAlive && m_isWritten && !m_input.size() && !m_isClosed;
         if (isReusable) {
             m_reusableUntil = currentInstant() + reusableFor(m_head.headers);
@@ -274,6 +294,7 @@
     ReplicaRun m_replica;
     Tcp::socket m_socket;
     Timer m_timer; ///< Limits the time to connect.
+    Timer m_callTimer; ///< Limits the time of the call.
     boost::beast::flat_buffer m_input;
     std::array<char, 4096> m_chunk {};
     std::optional<ResponseParser> m_parser;
@@ -282,6 +303,7 @@
     UpstreamHead m_head;
     Instant m_reusableUntil;
     std::uint64_t m_call = 0;
+    std::size_t m_precedingBytes = 0; ///< Of the present call.
     bool m_isConnected = false;
     bool m_isBusy = false;
     bool m_isWritten = false;
@@ -371,13 +393,15 @@
 
 /// Answers to the process's own calls have a few hundred bytes. A faulty replica may send an endless one; it is truncated, so that it
 /// can't be decoded.
-constexpr std::size_t gatheredLimit = 1u << 20;
+constexpr std::uint64_t gatheredLimit = 1u << 20;
 
-UpstreamCallHandlers gather(
-    std::function<void(const GatheredAnswer&)> onEnd, std::function<void(bool mayHaveRun, const std::string& why)> onFailure)
+UpstreamCallHandlers gather(std::function<void(const GatheredAnswer&)> onEnd,
+    std::function<void(bool mayHaveRun, const std::string& why)> onFailure, std::optional<Duration> timeLimit)
 {
     auto answer = std::make_shared<GatheredAnswer>();
     UpstreamCallHandlers handlers;
+    handlers.timeLimit = timeLimit;
+    handlers.bodyLimit = gatheredLimit;
     handlers.whose = [](const UpstreamHead&) { return AnswerOwner::ThisCall; };
     handlers.onHead = [answer](const UpstreamHead& head) { answer->head = head; };
     handlers.onBody = [answer](const std::string& bytes) {
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -7,6 +7,8 @@
  * be repeated, its caller gets a failure. The pool therefore stops using a connection well before the idle timeout that the replica
  * states.
  *
+ * A faulty replica may send bytes without end. A call fails once its answer, or what precedes it on the connection, exceeds its limit.
+ *
  * Runs on the strand passed to it.
  */
 #pragma once
@@ -18,6 +20,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace wrenhinge {
@@ -34,7 +37,12 @@
     FormerCall, ///< A late or second answer to an earlier request: skip it and read on.
 };
 
+/// Size limit of an answer's body, in bytes. Answers in use have a few thousand.
+inline constexpr std::uint64_t maxAnswerBytes = 8u << 20;
+
 struct UpstreamCallHandlers {
+    std::optional<Duration> timeLimit {}; ///< The call fails after this long; nothing: its caller cancels it in time.
+    std::uint64_t bodyLimit = maxAnswerBytes; ///< In bytes; an answer with a longer body, or a longer stated length, fails the call.
     std::function<AnswerOwner(const UpstreamHead&)> whose;
     std::function<void(const UpstreamHead&)> onHead;
     std::function<void(std::string)> onBody;
@@ -48,8 +56,8 @@
     std::string body;
 };
 /// Handlers that collect the answer to a call that this process makes for itself.
-UpstreamCallHandlers gather(
-    std::function<void(const GatheredAnswer&)> onEnd, std::function<void(bool mayHaveRun, const std::string& why)> onFailure);
+UpstreamCallHandlers gather(std::function<void(const GatheredAnswer&)> onEnd,
+    std::function<void(bool mayHaveRun, const std::string& why)> onFailure, std::optional<Duration> timeLimit = {});
 
 /// A request as bytes.
 struct UpstreamRequest {
--- a/src/process/ForwardCalls.h
+++ b/src/process/ForwardCalls.h
@@ -23,6 +23,9 @@
 public:
     using Post = std::function<void(const forward::Event&)>;
 
+    /// A replica releases what it holds within milliseconds, and what it does not release expires after about this long.
+    static constexpr Duration bestEffortTimeLimit = 2s;
+
     ForwardCalls(const Strand& strand, RefusalLog& refusals, Post post)
         : m_pool(strand)
         , m_refusals(refusals)
@@ -119,7 +122,8 @@
     /// Releases something at a replica. A failure is ignored: what isn't released expires at the end of its hold time.
     void callBestEffort(const ReplicaRun& replica, const std::string& address, UpstreamRequest request)
     {
-        m_pool.call(replica, address, std::move(request), gather([](const GatheredAnswer&) {}, [](bool, const std::string&) {}));
+        auto handlers = gather([](const GatheredAnswer&) {}, [](bool, const std::string&) {}, bestEffortTimeLimit);
+        m_pool.call(replica, address, std::move(request), std::move(handlers));
     }
 
     UpstreamPool m_pool;
--- a/src/process/StageDriver.h
+++ b/src/process/StageDriver.h
@@ -100,7 +100,8 @@
             post(stages::EngineRead { order, state });
         };
         auto onFailure = [this, order = read.order](bool, const std::string&) { post(stages::EngineRead { order, std::nullopt }); };
-        m_pool.call(read.engine.run, read.engine.address, Dialect::readEngine(read.engine), gather(onEnd, onFailure));
+        m_pool.call(read.engine.run, read.engine.address, Dialect::readEngine(read.engine),
+            gather(onEnd, onFailure, StageCoordinator::stepTimeout));
     }
 
     void execute(stages::AcquireToken& acquire)
--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -173,10 +173,11 @@
 /// Calls as a gateway would, and waits for the outcome.
 class Caller {
 public:
-    Outcome call(const std::string& address, const std::string& id = "me")
+    Outcome call(const std::string& address, const std::string& id = "me", std::optional<Duration> timeLimit = {})
     {
         Outcome outcome;
         UpstreamCallHandlers handlers;
+        handlers.timeLimit = timeLimit;
         handlers.whose = [id](const UpstreamHead& head) {
             auto echoed = headerValue(head.headers, "Id");
             return echoed && *echoed != id ? AnswerOwner::FormerCall : AnswerOwner::ThisCall;
@@ -734,6 +735,64 @@
     CHECK(clients[1]->readTo("0\r\n\r\n").ends_with("5\r\nsmall\r\n0\r\n\r\n"));
 }
 
+TEST_CASE("bytes without end fail their call, wherever they stand")
+{
+    // Guards against a call that keeps a connection, memory or the processor for as long as a faulty replica sends.
+    std::string filler(16000, 'x');
+    auto former = "HTTP/1.1 200 OK\r\nId: other\r\n\r\n";
+    std::vector<std::pair<std::string, std::string>> all { { "HTTP/1.1 200 OK\r\nId: me\r\n\r\n", filler },
+        { "HTTP/1.1 200 OK\r\nId: me\r\n", "X: x\r\n" }, { "", "HTTP/1.1 100 Continue\r\n\r\n" }, { former, filler },
+        { "", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno" },
+        { "HTTP/1.1 200 OK\r\nId: me\r\nTransfer-Encoding: chunked\r\n\r\n1;", filler } };
+    for (const auto& [first, rest] : all) {
+        CAPTURE(first);
+        Replica replica([&](Tcp::socket socket) {
+            readRequest(socket);
+            auto part = rest;
+            while (part.size() < 100000)
+                part += part;
+            writeText(socket, first);
+            for (ErrorCode ec; !ec;)
+                boost::asio::write(socket, boost::asio::buffer(part), ec);
+        });
+        auto outcome = Caller().call(replica.address());
+        CHECK(outcome.hasFailed);
+        CHECK(outcome.mayHaveRun);
+        CHECK(outcome.body.size() <= maxAnswerBytes);
+    }
+}
+
+TEST_CASE("a call with a time limit fails when it has passed, and one that was answered before does not")
+{
+    // Guards against connections that are kept for ever for calls whose answers nobody waits for.
+    Replica mute([](Tcp::socket socket) {
+        while (!readRequest(socket).empty()) { }
+    });
+    CHECK(Caller().call(mute.address(), "me", 50ms).hasFailed);
+    Replica replica([](Tcp::socket socket) {
+        while (!readRequest(socket).empty())
+            writeText(socket, whole);
+    });
+    Caller caller;
+    CHECK(caller.call(replica.address(), "me", 10s).isWhole);
+    CHECK(caller.call(replica.address()).isWhole);
+    CHECK(caller.opened() == 1);
+}
+
+TEST_CASE("an answer that states more bytes than it may have fails its call")
+{
+    // Guards against a gateway that ends because it can't set aside what a faulty replica announces.
+    for (const std::string length : { "8388609", "99999999999", "18446744073709551615", "99999999999999999999" }) {
+        Replica replica([&length](Tcp::socket socket) {
+            readRequest(socket);
+            writeText(socket, "HTTP/1.1 200 OK\r\nId: me\r\nContent-Length: " + length + "\r\n\r\n" + std::string(4000, 'x'));
+        });
+        auto outcome = Caller().call(replica.address());
+        CHECK(outcome.hasFailed);
+        CHECK(outcome.mayHaveRun);
+    }
+}
+
 TEST_CASE("a stream is cut into whole events, wherever its bytes are split")
 {
     std::string text = "id: 7\ndata: a\n\nid: 8\r\ndata: b\r\n\r\n: note\n\n";
