A sidecar takes no more than 8 MiB of one answer of its upstream, and 1 MiB of a prefill's

The own protocol's calls had a limit of 256 MiB, and kept that much of an answer to a prefill, which is some hundred bytes. No test: the limits are Beast's, in a reader that is not eager. What waits at a sidecar's link and at the own protocol's callers is not bounded together yet (docs/FINDINGS.md).

--- a/src/connection/UpstreamClient.cpp
+++ b/src/connection/UpstreamClient.cpp
@@ -15,7 +15,9 @@
     namespace http = boost::beast::http;
 
     constexpr std::size_t readBytes = 16384;
-    constexpr std::uint64_t answerLimit = 256u << 20;
+    /// In bytes. Answers in use have a few thousand, and those to prefills a few hundred.
+    constexpr std::uint64_t answerLimit = 8u << 20;
+    constexpr std::uint64_t prefillAnswerLimit = 1u << 20;
 
     bool isHopByHop(beast::string_view name)
     {
@@ -42,7 +44,7 @@
         , m_report(std::move(report))
         , m_tokens(true)
     {
-        m_parser.body_limit(answerLimit);
+        m_parser.body_limit(m_call.kind == UpstreamKind::Prefill ? prefillAnswerLimit : answerLimit);
     }
 
     void run(const Tcp::endpoint& endpoint)
