What all callers send together is bounded, in requests that arrive and in those in progress

Callers saw: a gateway of 88 MB is over its memory, and is ended with all its requests, by 60 callers with bodies of the largest size, by 20 with chunks beyond it, by 80 that stop half-way, by 250 with 16 KB of fields of 4 bytes, at any path. A controller likewise at its own address.

Cause, one class: each bound held for one connection, and memory is one. - A body was read whole before anything was decided, also where no route is. - A body stood twice: in the request, and in the text of each call. - Fields were kept as a list of strings: 16 KB became some 300 KB. - The parser set the stated length aside at once, and the allocator kept what had been freed.

Why it holds: requests that have not come whole have one budget, whose largest holder is refused as not run (BufferBudget); a request in progress is admitted if it takes at most half of what is free (RequestMemory) and is refused as not run else; both follow from the setting `memory`. What has an answer by its head is answered then, and the rest is read and thrown away. Fields are one text, a body stands once.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -17,16 +17,55 @@
 
     /// Pipelined bytes that are buffered while a request is in progress.
     constexpr std::size_t readAheadLimit = 64 * 1024;
+    /// An input buffer that has grown beyond this is released between requests.
+    constexpr std::size_t keptInputBytes = 4096;
+    /// Memory of a request in progress besides its bytes; they stand twice, here and in the call to a replica.
+    constexpr std::size_t requestOverhead = 2048;
+    constexpr std::size_t headCopies = 2;
+    /// When a caller may come again that was refused for the memory of requests.
+    constexpr auto retryAfterSeconds = "1";
+    /// What the kernel keeps of a connection that is not read yet.
+    constexpr int receiveBufferBytes = 64 * 1024;
     /// How long a connection is still read after its sending side was closed. Closing it with unread bytes would reset it, and the
     /// last answer could be lost.
     constexpr Duration lingerTime = 1s;
     constexpr int callerSilenceMs = 10000;
     constexpr Duration acceptAgainAfter = 50ms;
 
-    using RequestParser = http::request_parser<http::string_body>;
+    /// A body in a string that grows with what arrives. Beast's own reserves the stated length at once: thousands of callers that state
+    /// the largest and send nothing would take all address space.
+    struct GrowingBody {
+        using value_type = std::string;
+        static std::uint64_t size(const value_type& body) { return body.size(); }
+        class reader {
+        public:
+            template <bool isRequest, typename Fields>
+            reader(http::header<isRequest, Fields>&, value_type& body)
+                : m_body(body)
+            {
+            }
+            static void init(const boost::optional<std::uint64_t>&, ErrorCode& ec) { ec = {}; }
+            template <typename Buffers> std::size_t put(const Buffers& buffers, ErrorCode& ec)
+            {
+                std::size_t n = 0;
+                for (auto it = boost::asio::buffer_sequence_begin(buffers); it != boost::asio::buffer_sequence_end(buffers); ++it) {
+                    boost::asio::const_buffer buf = *it;
+                    m_body.append(static_cast<const char*>(buf.data()), buf.size());
+                    n += buf.size();
+                }
+                ec = {};
+                return n;
+            }
+            static void finish(ErrorCode& ec) { ec = {}; }
+
+        private:
+            value_type& m_body;
+        };
+    };
+    using RequestParser = http::request_parser<GrowingBody>;
 
     /// \returns why the framing of a request is ambiguous, or nothing.
-    std::optional<std::string> framingFault(const http::request<http::string_body>& request)
+    std::optional<std::string> framingFault(const http::request<GrowingBody>& request)
     {
         if (request.count(http::field::host) != 1 && request.version() >= 11)
             return "exactly one Host header is needed";
@@ -67,7 +106,7 @@
 
     [[nodiscard]] bool isBusy() const { return m_state == State::Reading || m_state == State::Answering || m_isWriting; }
     /// Whether no request is in progress and no bytes wait to be read, so that closing the connection loses no request.
-    [[nodiscard]] bool isIdle() { return m_state == State::Idle && !m_isWriting && isQuiet(m_socket); }
+    [[nodiscard]] bool isIdle() { return m_state == State::Idle && !m_isWriting && !m_input.size() && isQuiet(m_socket); }
 
     void reply(int status, const HeaderList& headers, std::string body) override
     {
@@ -126,20 +165,24 @@
         close();
     }
 
-    /// The caller doesn't read what it has asked for.
     void disconnect() { close(); }
 
+    /// Refuses a request that has not come whole.
+    void refuseForMemory() { refuse(503, "too many requests are being received", { { "Retry-After", retryAfterSeconds } }); }
+
     /// Closes the sending side first, so that the caller sees an end of file and not a reset.
     void closeGently()
     {
         if (m_state == State::Closed || m_state == State::Lingering)
             return;
         leave(State::Lingering);
+        releaseInput();
         m_output.clear();
         noteUnsent();
         ErrorCode ignored;
         m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
-        m_timer.start(lingerTime, [self = shared_from_this()] { self->close(); });
+        m_lingersUntil = currentInstant() + m_server.m_limits.idleTime;
+        linger();
     }
 
 private:
@@ -152,10 +195,28 @@
         Closed,
     };
 
+    /// A caller may send the rest of a body whose answer it has already.
+    void linger()
+    {
+        auto left = std::max(m_lingersUntil - currentInstant(), Duration::zero());
+        m_timer.start(std::min(lingerTime, left), [self = shared_from_this()] { self->close(); });
+    }
+
+    void releaseInput()
+    {
+        m_input = {};
+        m_parser.reset();
+        m_request = {};
+        m_server.m_receiving.set(this, 0);
+    }
+
     void expectRequest()
     {
         m_state = State::Idle;
         m_parser.reset();
+        if (!m_input.size() && m_input.capacity() > keptInputBytes)
+            m_input = {};
+        m_hasCheckedHead = false;
         m_sentContinue = false;
         m_isChunked = false;
         onGone = nullptr;
@@ -207,15 +268,31 @@
             return;
         if (ec)
             return close();
-        if (m_state != State::Lingering && m_state != State::Ending) {
-            boost::asio::buffer_copy(m_input.prepare(n), boost::asio::buffer(m_chunk, n));
-            m_input.commit(n);
-            if (m_state != State::Answering)
-                parse();
-        }
+        if (m_state == State::Lingering || m_state == State::Ending)
+            discard(n);
+        else
+            take(n);
         read();
     }
 
+    /// Received bytes are of no use: the connection is closed after its answer.
+    void discard(std::size_t n)
+    {
+        m_discarded += n;
+        if (m_discarded > m_server.m_limits.bodyBytes + m_server.m_limits.headerBytes)
+            return close();
+        if (m_state == State::Lingering)
+            linger();
+    }
+
+    void take(std::size_t n)
+    {
+        boost::asio::buffer_copy(m_input.prepare(n), boost::asio::buffer(m_chunk, n));
+        m_input.commit(n);
+        if (m_state != State::Answering)
+            parse();
+    }
+
     void parse()
     {
         if (!m_input.size())
@@ -232,6 +309,7 @@
                 m_parser->eager(true);
                 if (auto fault = framingFault(m_parser->get()))
                     return refuse(400, *fault);
+                takeHead();
                 limitTime(m_server.m_limits.idleTime, &Connection::bodyTimeEnded);
             }
             if (ec)
@@ -244,10 +322,61 @@
         // What is left for want of more bytes is the start of a head or of a chunk's header.
         if (m_input.size() > std::max(readAheadLimit, m_server.m_limits.headerBytes))
             return refuse(statusOf(http::error::header_limit), "the header of a chunk exceeds the size limit");
-        if (m_parser->is_header_done() && !m_sentContinue && m_parser->get().count(http::field::expect)) {
+        if (m_parser->is_header_done() && !std::exchange(m_hasCheckedHead, true) && answerAtHead())
+            return;
+        if (m_parser->is_header_done() && !m_sentContinue && m_expectsContinue) {
             m_sentContinue = true;
             send("HTTP/1.1 100 Continue\r\n\r\n");
         }
+        noteReceived();
+    }
+
+    /// Keeps of the head what the request needs. The parser's own fields take many times their bytes.
+    void takeHead()
+    {
+        auto& message = m_parser->get();
+        m_isHead = message.method() == http::verb::head;
+        m_version = message.version();
+        m_keepAlive = message.keep_alive();
+        m_expectsContinue = message.count(http::field::expect);
+        m_request = {};
+        m_request.method = std::string(message.method_string());
+        m_request.target = std::string(message.target());
+        m_request.host = std::string(message[http::field::host]);
+        HeaderFields fields;
+        for (const auto& field : message)
+            fields.add({ field.name_string().data(), field.name_string().size() }, { field.value().data(), field.value().size() });
+        m_request.headers = withoutConnectionHeaders(fields);
+        message.clear();
+    }
+
+    /// \returns whether the request needed no more than its head, and was answered.
+    bool answerAtHead()
+    {
+        auto decision = m_server.m_headCheck ? m_server.m_headCheck(m_request) : HeadDecision();
+        if (decision.reply) {
+            ++m_server.m_counters.answeredAtHead;
+            m_state = State::Answering;
+            m_keepAlive = false;
+            reply(decision.reply->status, decision.reply->headers, std::move(decision.reply->body));
+            return true;
+        }
+        if (!decision.bodyLimit)
+            return false;
+        auto limit = std::min(*decision.bodyLimit, m_server.m_limits.bodyBytes);
+        m_parser->body_limit(limit);
+        // The parser compares the stated length with its limit only as it reads the head.
+        if (m_parser->content_length().value_or(0) <= limit)
+            return false;
+        refuse(statusOf(http::error::body_limit), "the body exceeds the size limit");
+        return true;
+    }
+
+    /// Counts what has come of a request that isn't whole.
+    void noteReceived()
+    {
+        m_server.m_receiving.set(this, m_input.capacity() + headBytesOf(m_request) + m_parser->get().body().size());
+        m_server.refuseLargestReceived();
     }
 
     /// Uses the present limits: they may have changed since the connection became idle.
@@ -255,6 +384,7 @@
     {
         m_state = State::Reading;
         m_startedAt = currentInstant();
+        m_request = {};
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.headerBytes));
         m_parser->body_limit(m_server.m_limits.bodyBytes);
@@ -270,32 +400,34 @@
 
     void dispatch()
     {
-        auto message = m_parser->release();
         m_state = State::Answering;
         m_timer.cancel();
-        m_isHead = message.method() == http::verb::head;
-        m_version = message.version();
-        m_keepAlive = message.keep_alive();
-        HttpRequest request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        request.host = std::string(message[http::field::host]);
-        for (const auto& field : message)
-            request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-        removeConnectionHeaders(request.headers);
-        request.body = std::move(message.body());
+        m_server.m_receiving.set(this, 0);
+        auto request = std::exchange(m_request, {});
+        request.body = std::move(m_parser->get().body());
         request.readFor = currentInstant() - m_startedAt;
+        request.memory = m_server.m_inProgress.take(requestOverhead + headCopies * headBytesOf(request) + request.body.size());
+        if (!request.memory) {
+            ++m_server.m_counters.refusedWhenReceived;
+            return reply(503, { { "Content-Type", "text/plain" }, { "Retry-After", retryAfterSeconds } }, "too many requests are in progress\n");
+        }
         m_server.m_handler(std::move(request), shared_from_this());
     }
 
+    static std::size_t headBytesOf(const HttpRequest& request)
+    {
+        return request.headers.bytes() + request.target.size() + request.host.size();
+    }
+
     /// Refuses a request that can't be parsed, and closes the connection, since the start of the next request is unknown.
-    void refuse(int status, const std::string& why)
+    void refuse(int status, const std::string& why, HeaderList headers = {})
     {
         m_state = State::Answering;
         m_version = 11;
         m_isHead = false;
         m_keepAlive = false;
-        reply(status, { { "Content-Type", "text/plain" } }, why + "\n");
+        headers.emplace_back("Content-Type", "text/plain");
+        reply(status, headers, why + "\n");
     }
 
     std::string head(int status, const HeaderList& headers)
@@ -316,13 +448,8 @@
         onGone = nullptr;
         // The head of a long answer may have been sent, without `Connection: close`, before the server began to close. If the connection
         // stayed open, it would receive another request that can't be answered in time.
-        if (!m_keepAlive || m_server.m_isClosed) {
-            m_state = State::Ending;
-            m_timer.cancel();
-            if (!m_isWriting)
-                closeGently();
-            return;
-        }
+        if (!m_keepAlive || m_server.m_isClosed)
+            return closeWhenWritten();
         expectRequest();
         // The next request may already be buffered. It is parsed later, since this may be called from within parse().
         boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
@@ -332,6 +459,15 @@
         });
     }
 
+    void closeWhenWritten()
+    {
+        m_state = State::Ending;
+        m_timer.cancel();
+        releaseInput();
+        if (!m_isWriting)
+            closeGently();
+    }
+
     void send(std::string bytes)
     {
         if (m_output.empty())
@@ -378,6 +514,7 @@
         m_socket.close(ignored);
         m_server.m_connections.erase(self);
         m_server.m_unsent.set(this, 0);
+        m_server.m_receiving.set(this, 0);
         leave(State::Closed);
     }
 
@@ -397,10 +534,13 @@
     boost::beast::flat_buffer m_input;
     std::array<char, 4096> m_chunk {};
     std::optional<RequestParser> m_parser;
+    HttpRequest m_request; ///< The head of the request that is being received.
     std::string m_output;
     std::string m_inFlight;
+    std::size_t m_discarded = 0;
     Instant m_startedAt;
     Instant m_idleSince;
+    Instant m_lingersUntil;
     State m_state = State::Idle;
     unsigned m_version = 11;
     bool m_isReading = false;
@@ -409,11 +549,14 @@
     bool m_isChunked = false;
     bool m_keepAlive = true;
     bool m_sentContinue = false;
+    bool m_expectsContinue = false;
+    bool m_hasCheckedHead = false;
 };
 
-HttpServer::HttpServer(Strand strand, Handler handler)
+HttpServer::HttpServer(Strand strand, Handler handler, HeadCheck headCheck)
     : m_strand(std::move(strand))
     , m_handler(std::move(handler))
+    , m_headCheck(std::move(headCheck))
     , m_acceptor(m_strand)
 {
 }
@@ -423,8 +566,12 @@
 Result<std::string> HttpServer::listen(const std::string& address)
 {
     auto bound = listenOn(m_acceptor, address);
-    if (bound)
-        accept();
+    if (!bound)
+        return bound;
+    // Connections inherit it.
+    ErrorCode ignored;
+    m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+    accept();
     return bound;
 }
 
@@ -432,6 +579,9 @@
 {
     m_limits = limits;
     m_unsent.setLimit(limits.unsentBytes);
+    // A single request of the largest size is received, whatever the limit.
+    m_receiving.setLimit(std::max(limits.receivingBytes, 2 * limits.headerBytes + limits.bodyBytes));
+    m_inProgress.setLimit(limits.progressBytes);
 }
 
 void HttpServer::accept()
@@ -455,8 +605,18 @@
 
 void HttpServer::closeLargestUnsent()
 {
-    for (auto largest = m_unsent.excess(); largest; largest = m_unsent.excess())
+    for (auto largest = m_unsent.excess(); largest; largest = m_unsent.excess()) {
+        ++m_counters.closedUnread;
         (*largest)->disconnect();
+    }
+}
+
+void HttpServer::refuseLargestReceived()
+{
+    for (auto largest = m_receiving.excess(); largest; largest = m_receiving.excess()) {
+        ++m_counters.refusedWhileReceived;
+        (*largest)->refuseForMemory();
+    }
 }
 
 void HttpServer::closeIdle()
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -6,20 +6,26 @@
  * parsers could read differently (both a length and chunks, two lengths, an unknown transfer coding, no host or two) is refused, since
  * its body could contain a second request (request smuggling).
  *
- * A caller may read slower than its answer arrives, or not at all. If the bytes that wait for all callers exceed a limit, the connection
- * with the most of them is closed.
+ * Callers may do anything, so what they all take together is bounded (docs/design/callers-limits.md):
+ * - Requests that are being received: beyond the limit the largest is refused as not run, which spares the many small ones.
+ * - Requests in progress: one that doesn't fit is refused as not run (RequestMemory).
+ * - Answers that aren't read: beyond the limit the connection with the most bytes is closed.
+ * A request whose answer needs its head alone is answered before its body has come.
  *
  * Runs on the strand passed to it.
  */
 #pragma once
 
 #include "base/BufferBudget.h"
+#include "base/RequestMemory.h"
 #include "base/ResultCode.h"
 #include "connection/Asio.h"
-#include "message/Messages.h"
+#include "connection/HeaderFields.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -29,9 +35,17 @@
     std::string method;
     std::string target;
     std::string host;
-    HeaderList headers; ///< Without those that concern only the connection.
+    HeaderFields headers; ///< Without those that concern only the connection.
     std::string body;
     Duration readFor {}; ///< From the first byte to the last.
+    std::shared_ptr<const RequestMemory::Share> memory {}; ///< To be kept as long as any part of the request is.
+};
+
+/// A complete answer.
+struct HttpReply {
+    int status = 0;
+    HeaderList headers;
+    std::string body;
 };
 
 /// The answer to one request. Once the caller has disconnected, its functions do nothing.
@@ -59,10 +73,27 @@
         Duration idleTime = 60s;
         std::size_t connections = 3500;
         std::size_t unsentBytes = 64u << 20; ///< That wait for all callers together.
+        std::size_t receivingBytes = 32u << 20; ///< Of all requests together that have not been received whole.
+        std::size_t progressBytes = 32u << 20; ///< Of all requests in progress together.
     };
     using Handler = std::function<void(HttpRequest&&, std::shared_ptr<HttpAnswer>)>;
+    /// What is known of a request by its head.
+    struct HeadDecision {
+        std::optional<HttpReply> reply {}; ///< The answer, whatever the body will be.
+        std::optional<std::size_t> bodyLimit {}; ///< Of this request, below that of all.
+    };
+    /// Called for a request whose head has come without all of its body.
+    using HeadCheck = std::function<HeadDecision(const HttpRequest&)>;
+
+    /// What was refused or closed for the limits. Read on any thread.
+    struct Counters {
+        std::atomic<std::uint64_t> answeredAtHead = 0;
+        std::atomic<std::uint64_t> refusedWhileReceived = 0; ///< Too many bytes of requests that have not come whole.
+        std::atomic<std::uint64_t> refusedWhenReceived = 0; ///< Too many bytes of requests in progress.
+        std::atomic<std::uint64_t> closedUnread = 0; ///< Their callers read no answers.
+    };
 
-    HttpServer(Strand, Handler);
+    HttpServer(Strand, Handler, HeadCheck = nullptr);
     ~HttpServer();
 
     /// \returns the bound address.
@@ -74,18 +105,24 @@
     void closeIdle();
     [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
     [[nodiscard]] std::size_t requestsInProgress() const;
+    [[nodiscard]] const Counters& counters() const { return m_counters; }
 
 private:
     class Connection;
     void accept();
     void closeLargestUnsent();
+    void refuseLargestReceived();
 
     Strand m_strand;
     Handler m_handler;
+    HeadCheck m_headCheck;
     Limits m_limits;
+    Counters m_counters;
     Tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Connection>> m_connections;
     BufferBudget<Connection*> m_unsent { m_limits.unsentBytes };
+    BufferBudget<Connection*> m_receiving { m_limits.receivingBytes };
+    RequestMemory m_inProgress { m_limits.progressBytes };
     bool m_isClosing = false;
     bool m_isClosed = false; ///< Each connection is closed when its request in progress ends.
 };
--- a/src/connection/HttpText.cpp
+++ b/src/connection/HttpText.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/status.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <set>
 #include <sys/socket.h>
 
 namespace wrenhinge {
@@ -32,28 +33,58 @@
     return text.substr(first, last == std::string_view::npos ? 0 : last + 1 - first);
 }
 
+namespace {
+
+    constexpr std::array<std::string_view, 11> connectionNames { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+        "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect" };
+
+    struct NameOrder {
+        using is_transparent = void;
+        bool operator()(std::string_view a, std::string_view b) const
+        {
+            return std::lexicographical_compare(a.begin(), a.end(), b.begin(), b.end(),
+                [](unsigned char x, unsigned char y) { return std::tolower(x) < std::tolower(y); });
+        }
+    };
+    /// Sorted: a sender may name thousands.
+    using NameSet = std::set<std::string, NameOrder>;
+
+    template <typename Headers> NameSet namesOfConnection(const Headers& headers)
+    {
+        NameSet names(connectionNames.begin(), connectionNames.end());
+        for (const auto& [field, value] : headers) {
+            if (!isSameName(field, "Connection"))
+                continue;
+            for (std::string_view rest = value; !rest.empty();) {
+                auto word = rest.substr(0, rest.find(','));
+                rest.remove_prefix(std::min(rest.size(), word.size() + 1));
+                word = trimmed(word);
+                // A sender may not have the host or the length removed by naming them here.
+                if (!word.empty() && !isSameName(word, "Host"))
+                    names.emplace(word);
+            }
+        }
+        return names;
+    }
+
+} // namespace
+
 void removeConnectionHeaders(HeaderList& headers)
 {
-    constexpr std::array fixed { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
-        "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect" };
-    std::vector<std::string> named(fixed.begin(), fixed.end());
-    for (const auto& [field, value] : headers) {
-        if (!isSameName(field, "Connection"))
-            continue;
-        for (std::size_t at = 0; at <= value.size();) {
-            auto comma = std::min(value.find(',', at), value.size());
-            auto word = value.substr(at, comma - at);
-            word.erase(0, word.find_first_not_of(" \t"));
-            word.erase(word.find_last_not_of(" \t") + 1);
-            // A sender may not have the host or the length removed by naming them here.
-            if (!word.empty() && !isSameName(word, "Host"))
-                named.push_back(word);
-            at = comma + 1;
-        }
+    auto names = namesOfConnection(headers);
+    std::erase_if(headers, [&names](const auto& header) { return names.contains(header.first); });
+}
+
+HeaderFields withoutConnectionHeaders(const HeaderFields& fields)
+{
+    auto names = namesOfConnection(fields);
+    HeaderFields kept;
+    kept.reserve(fields.bytes());
+    for (const auto& [name, value] : fields) {
+        if (!names.contains(name))
+            kept.add(name, value);
     }
-    std::erase_if(headers, [&named](const auto& header) {
-        return std::any_of(named.begin(), named.end(), [&header](const std::string& name) { return isSameName(header.first, name); });
-    });
+    return kept;
 }
 
 void appendHeaders(std::string& text, const HeaderList& headers)
--- a/src/connection/HttpText.h
+++ b/src/connection/HttpText.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "connection/HeaderFields.h"
 #include "message/Messages.h"
 
 #include <optional>
@@ -16,12 +17,14 @@
 
 /// The first value of a header.
 std::optional<std::string_view> headerValue(const HeaderList&, std::string_view name);
+inline std::optional<std::string_view> headerValue(const HeaderFields& fields, std::string_view name) { return fields.value(name); }
 
 /// A header's value without the blanks around it.
 std::string_view trimmed(std::string_view);
 
 /// Removes the headers that concern one connection only: the fixed ones and those that `Connection` names.
 void removeConnectionHeaders(HeaderList&);
+HeaderFields withoutConnectionHeaders(const HeaderFields&);
 
 /// Writes `name: value` lines.
 void appendHeaders(std::string& text, const HeaderList&);
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -136,7 +136,10 @@
     void write()
     {
         m_mayHaveRun = true;
-        boost::asio::async_write(m_socket, boost::asio::buffer(m_request.bytes), [self = shared_from_this()](ErrorCode ec, std::size_t n) {
+        std::array<boost::asio::const_buffer, 2> parts { boost::asio::buffer(m_request.bytes) };
+        if (m_request.body)
+            parts[1] = boost::asio::buffer(*m_request.body);
+        boost::asio::async_write(m_socket, parts, [self = shared_from_this()](ErrorCode ec, std::size_t n) {
             // A write that fails after some bytes also fails the read, which may still find an answer.
             if (!ec) {
                 self->m_isWritten = true;
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -61,7 +61,8 @@
 
 /// A request as bytes.
 struct UpstreamRequest {
-    std::string bytes;
+    std::string bytes; ///< All, or all but `body`.
+    std::shared_ptr<const std::string> body {}; ///< Follows `bytes`; shared, as the same request may be sent more than once.
     bool isHead = false; ///< Its answer has no body, whatever its headers say.
 };
 
--- a/src/process/ControlServer.h
+++ b/src/process/ControlServer.h
@@ -10,6 +10,7 @@
 #include "base/SystemClock.h"
 #include "connection/HttpServer.h"
 #include "process/ControllerRole.h"
+#include "process/MemoryShares.h"
 #include "process/RegistryLimits.h"
 #include "version/RoutingDocument.h"
 
@@ -38,6 +39,10 @@
     {
         D::readControlCall(request)
         } -> std::same_as<Result<ControlCall>>;
+    // How long the body of the call may be, or why there is no such call.
+    {
+        D::bodyLimitOf(request)
+        } -> std::same_as<Result<std::size_t>>;
     {
         D::announcementReply()
         } -> std::same_as<std::string>;
@@ -63,11 +68,14 @@
 
     explicit ControlServer(ControllerRole& role)
         : m_role(role)
-        , m_server(role.strand(), [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { handle(request, std::move(answer)); })
+        , m_server(
+              role.strand(), [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { handle(request, std::move(answer)); },
+              [](const HttpRequest& head) { return decideAtHead(head); })
     {
-        HttpServer::Limits limits;
+        auto limits = limitsFor(MemoryShares(role.memory()));
+        limits.connections = connectionLimit;
         limits.idleTime = std::max(idleTime, idleAnnouncements * role.registrar().registry().times().interval());
-        limits.bodyBytes = bodyLimit;
+        limits.bodyBytes = std::min(bodyLimit, limits.progressBytes);
         m_server.setLimits(limits);
     }
 
@@ -76,10 +84,13 @@
 
 private:
     static constexpr std::size_t bodyLimit = 16u << 20;
+    /// All replicas of a large site and its operators; the rest of the descriptors is for other processes of this project.
+    static constexpr std::size_t connectionLimit = 3000;
 
     /// A pending proposal or read, retried until it succeeds or times out.
     struct PendingCall {
         std::shared_ptr<HttpAnswer> answer;
+        std::shared_ptr<const RequestMemory::Share> memory; ///< Of the request that it is about.
         std::function<void(ControllerRole::ReplyCallback)> send;
         std::function<std::string(const ProposeReply&)> body;
         Instant deadline;
@@ -87,6 +98,14 @@
         boost::asio::steady_timer timer;
     };
 
+    static HttpServer::HeadDecision decideAtHead(const HttpRequest& head)
+    {
+        auto bodyLimit = Dialect::bodyLimitOf(head);
+        if (!bodyLimit)
+            return { HttpReply { httpStatusOf(bodyLimit.error().code), jsonHeaders(), Dialect::errorBody(bodyLimit.error()) } };
+        return { std::nullopt, bodyLimit.value() };
+    }
+
     void handle(const HttpRequest& request, std::shared_ptr<HttpAnswer> answer)
     {
         auto call = Dialect::readControlCall(request);
@@ -106,16 +125,16 @@
                 return reply(*answer, { ResultCode::NoUpstream, "this controller knows no run of this replica" });
             answer->reply(200, jsonHeaders(), Dialect::announcementReply());
         } else if (auto* put = std::get_if<PutDocument>(&call.value())) {
-            propose(std::move(*put), std::move(answer));
+            propose(std::move(*put), request.memory, std::move(answer));
         } else {
             auto body = [](const ProposeReply& reply) { return reply.text; };
             start(
-                std::move(answer), [this](ControllerRole::ReplyCallback done) { m_role.readDocument(std::move(done)); }, body,
+                std::move(answer), nullptr, [this](ControllerRole::ReplyCallback done) { m_role.readDocument(std::move(done)); }, body,
                 responseTimeout);
         }
     }
 
-    void propose(PutDocument put, std::shared_ptr<HttpAnswer> answer)
+    void propose(PutDocument put, std::shared_ptr<const RequestMemory::Share> memory, std::shared_ptr<HttpAnswer> answer)
     {
         auto timeout = responseTimeout + fromSeconds(static_cast<double>(put.text.size()) * microsPerByte / 1e6);
         DocumentCommand command { put.document.version, std::move(put.text) };
@@ -123,13 +142,13 @@
             m_role.propose(command, std::move(done), ++attempts > maxDeltaAttempts);
         };
         start(
-            std::move(answer), std::move(send), [](const ProposeReply&) { return std::string("{}"); }, timeout);
+            std::move(answer), std::move(memory), std::move(send), [](const ProposeReply&) { return std::string("{}"); }, timeout);
     }
 
-    void start(std::shared_ptr<HttpAnswer> answer, std::function<void(ControllerRole::ReplyCallback)> send,
-        std::function<std::string(const ProposeReply&)> body, Duration timeout)
+    void start(std::shared_ptr<HttpAnswer> answer, std::shared_ptr<const RequestMemory::Share> memory,
+        std::function<void(ControllerRole::ReplyCallback)> send, std::function<std::string(const ProposeReply&)> body, Duration timeout)
     {
-        auto pending = std::shared_ptr<PendingCall>(new PendingCall { std::move(answer), std::move(send), std::move(body),
+        auto pending = std::shared_ptr<PendingCall>(new PendingCall { std::move(answer), std::move(memory), std::move(send), std::move(body),
             currentInstant() + timeout, false, boost::asio::steady_timer(m_role.strand(), timeout) });
         pending->timer.async_wait([this, pending](ErrorCode ec) {
             if (!ec)
--- a/src/process/ControllerRole.h
+++ b/src/process/ControllerRole.h
@@ -44,6 +44,8 @@
     /// Reads the routing document linearizably: the reply contains its version and text. Thread-safe.
     void readDocument(ReplyCallback);
     /// Handles the replicas' announcements; call it on `strand()` only.
+    /// Of the process, in bytes.
+    [[nodiscard]] std::size_t memory() const { return m_settings.memory; }
     Registrar& registrar() { return m_registrar; }
     RefusalLog& refusals() { return m_runtime.refusals(); }
     [[nodiscard]] const Strand& strand() const { return m_strand; }
--- a/src/process/Daemon.cpp
+++ b/src/process/Daemon.cpp
@@ -1,10 +1,17 @@
 #include "process/Daemon.h"
 
+#include <malloc.h>
 #include <memory>
 #include <popt.h>
 
 namespace wrenhinge {
 
+void returnLargeBlocks()
+{
+    constexpr int largeBlock = 256 * 1024;
+    mallopt(M_MMAP_THRESHOLD, largeBlock);
+}
+
 std::optional<int> readDaemonOptions(int argc, const char** argv, DaemonOptions& options)
 {
     char* file = nullptr;
--- a/src/process/Daemon.h
+++ b/src/process/Daemon.h
@@ -67,9 +67,14 @@
         settings.workers, [&role] { role.drain(); }, [&] { reloadRole(file, runtime, role); });
 }
 
+/// Makes the allocator give large blocks back to the system as soon as they are freed. By default it keeps them once some have been freed,
+/// so a process that has held many large requests would stay as large as it was at its peak, in pieces.
+void returnLargeBlocks();
+
 /// Parses the command line, reads the settings and calls `run` with them. \returns the exit code.
 template <typename Run> int daemonMain(int argc, const char** argv, Run run)
 {
+    returnLargeBlocks();
     DaemonOptions options;
     if (auto ended = readDaemonOptions(argc, argv, options))
         return *ended;
--- a/src/process/ForwardAdapter.h
+++ b/src/process/ForwardAdapter.h
@@ -29,6 +29,7 @@
     {
         D::readCaller(request)
         } -> std::same_as<ParsedCallerRequest>;
+    // The head; the body is the caller's.
     {
         D::upstreamRequest(request, send)
         } -> std::same_as<UpstreamRequest>;
--- a/src/process/ForwardCalls.h
+++ b/src/process/ForwardCalls.h
@@ -34,14 +34,17 @@
     }
 
     /// Sends the caller's request, or its prompt alone. \param callerId the request id that the caller assigned.
-    UpstreamPool::Call start(const forward::Send& send, const HttpRequest& request, const std::string& callerId)
+    UpstreamPool::Call start(const forward::Send& send, const std::shared_ptr<const HttpRequest>& request, const std::string& callerId)
     {
         auto handlers = send.isPrefill ? prefillHandlers(send, callerId) : answerHandlers(send, callerId);
         handlers.whose = [callerId](const UpstreamHead& head) { return Dialect::whose(head, callerId); };
         handlers.onFailure = [this, id = send.id, attempt = send.attempt](bool mayHaveRun, const std::string& why) {
             m_post(forward::CallFailed { id, attempt, mayHaveRun, why });
         };
-        return m_pool.call(send.replica, send.address, Dialect::upstreamRequest(request, send), std::move(handlers));
+        auto out = Dialect::upstreamRequest(*request, send);
+        // Keeps the whole request, and so its share of the memory of requests.
+        out.body = std::shared_ptr<const std::string>(request, &request->body);
+        return m_pool.call(send.replica, send.address, std::move(out), std::move(handlers));
     }
 
     UpstreamPool::Call start(const forward::ReserveAtReplica& reserve, const std::string& callerId)
--- a/src/process/ForwardExchanges.h
+++ b/src/process/ForwardExchanges.h
@@ -21,7 +21,7 @@
 public:
     /// A request in progress, the answer to its caller, and the current call to a replica.
     struct Exchange {
-        HttpRequest request;
+        std::shared_ptr<const HttpRequest> request;
         std::string callerId; ///< The request id that the caller assigned.
         std::shared_ptr<HttpAnswer> answer;
         UpstreamPool::Call call {};
--- a/src/process/ForwardMetrics.h
+++ b/src/process/ForwardMetrics.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "connection/HttpServer.h"
 #include "process/TimeHistogram.h"
 #include "request/forward/ForwardEffects.h"
 
@@ -28,4 +29,14 @@
     std::map<std::string, double> m_gauges;
 };
 
+/// What callers were refused, or lost a connection, for.
+template <typename AnyMetrics> void setGauges(AnyMetrics& metrics, const HttpServer::Counters& counters)
+{
+    auto set = [&metrics](const char* name, std::uint64_t value) { metrics.setGauge(name, static_cast<double>(value)); };
+    set("wrenhinge_callers_answered_at_head_total", counters.answeredAtHead);
+    set("wrenhinge_callers_refused_while_received_total", counters.refusedWhileReceived);
+    set("wrenhinge_callers_refused_when_received_total", counters.refusedWhenReceived);
+    set("wrenhinge_callers_closed_unread_total", counters.closedUnread);
+}
+
 } // namespace wrenhinge
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -17,6 +17,7 @@
 #include "process/ForwardPages.h"
 #include "process/ForwardPeers.h"
 #include "process/LogicDriver.h"
+#include "process/MemoryShares.h"
 #include "process/Runtime.h"
 #include "request/fleet/ContentFingerprint.h"
 #include "request/forward/ForwardLogic.h"
@@ -33,8 +34,8 @@
     /// New requests are accepted for this long after SIGTERM: a load balancer needs up to two failed readiness checks, one second apart,
     /// to redirect callers.
     static constexpr Duration drainAcceptPeriod = 2600ms;
-    /// Limit of what waits for callers that read slowly: a seventh of the memory of the smallest instances.
-    static constexpr std::size_t maxUnsentBytes = 16u << 20;
+    /// Connections to the readiness check, which load balancers ask about once a second each.
+    static constexpr std::size_t readyCheckConnections = 64;
 
     ForwardRole(const Settings& settings, Runtime& runtime)
         : m_settings(settings)
@@ -57,8 +58,11 @@
                   [this] { return m_runtime.log().stampSend(); }, [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); },
                   runtime.refusals().linkHandler() })
         , m_callers(m_strand,
-              [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { onRequest(std::move(request), std::move(answer)); })
-        , m_ready(m_strand, [this](HttpRequest&&, const std::shared_ptr<HttpAnswer>& answer) { onReadyCheck(*answer); })
+              [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { onRequest(std::move(request), std::move(answer)); },
+              [this](const HttpRequest& head) { return HttpServer::HeadDecision { refusalAtHead(head) }; })
+        , m_ready(
+              m_strand, [this](HttpRequest&&, const std::shared_ptr<HttpAnswer>& answer) { answer->reply(readyStatus(), {}, ""); },
+              [this](const HttpRequest&) { return HttpServer::HeadDecision { HttpReply { readyStatus(), {}, "" } }; })
         , m_peers(m_hub, settings.sidecarPort)
         , m_calls(m_strand, runtime.refusals(), [this](const forward::Event& event) { post(event); })
         , m_pages(settings, runtime, { [this] { return isReady(); }, [this] { return m_hub.peers(); } })
@@ -67,8 +71,11 @@
         , m_driver(
               runtime.timers(), [this](forward::Effect& effect) { collect(std::move(effect)); }, forward::Tick {},
               ForwardLogic::Settings {
-                  settings.zone, randomIdentity(), settings.retries, settings.name, settings.quotas, settings.announcements })
+                  settings.zone, randomIdentity(), settings.retries, settings.name, settings.quotas, settings.announcements,
+                  MemoryShares(settings.memory).bufferedAnswers() })
     {
+        m_callers.setLimits(callerLimits(CallerLimits()));
+        m_ready.setLimits(readyCheckLimits());
     }
 
     Result<nlohmann::json> start()
@@ -126,7 +133,7 @@
         answer->onGone = [this, id] { post(forward::CallerDisconnected { id }); };
         parsed.metadata.readFor = request.readFor;
         parsed.metadata.fingerprint = fingerprintOf({ request.method, request.host, request.target, request.body });
-        m_exchanges.add(id, { std::move(request), std::move(parsed.id), std::move(answer) });
+        m_exchanges.add(id, { std::make_shared<const HttpRequest>(std::move(request)), std::move(parsed.id), std::move(answer) });
         post(forward::Submit { id, std::move(parsed.metadata) });
     }
 
@@ -135,7 +142,18 @@
         return !m_isDraining && m_driver.inspect([](const ForwardLogic& logic) { return logic.isServing(currentInstant()); });
     }
 
-    void onReadyCheck(HttpAnswer& answer) { answer.reply(isReady() ? 200 : 503, {}, ""); }
+    [[nodiscard]] int readyStatus() const { return isReady() ? 200 : 503; }
+
+    /// The refusal of a request that needs no body for it.
+    [[nodiscard]] std::optional<HttpReply> refusalAtHead(const HttpRequest& head) const
+    {
+        auto parsed = Dialect::readCaller(head);
+        auto error = m_driver.inspect(
+            [&parsed](const ForwardLogic& logic) { return logic.refusalAtHead(parsed.metadata, currentInstant()); });
+        if (!error)
+            return std::nullopt;
+        return HttpReply { httpStatusOf(error->code), Dialect::errorHeaders(*error, parsed.id), Dialect::errorBody(*error) };
+    }
 
     void onMessage(PeerId peer, Message&& message)
     {
@@ -230,17 +248,7 @@
 
     void execute(forward::DropConnections& drop) { m_calls.forget(drop.replica); }
 
-    void execute(forward::SetLimits& set)
-    {
-        HttpServer::Limits limits;
-        limits.headerBytes = set.limits.headerBytes;
-        limits.bodyBytes = set.limits.bodyBytes;
-        limits.headerTime = set.limits.headerTime;
-        limits.idleTime = set.limits.idleTime;
-        limits.connections = m_settings.callers.connectionLimit;
-        limits.unsentBytes = maxUnsentBytes;
-        m_callers.setLimits(limits);
-    }
+    void execute(forward::SetLimits& set) { m_callers.setLimits(callerLimits(set.limits)); }
 
     void execute(LogEvent& event)
     {
@@ -249,6 +257,25 @@
         m_runtime.log().write(event);
     }
 
+    /// \param limits of the routing document.
+    [[nodiscard]] HttpServer::Limits callerLimits(const CallerLimits& limits) const
+    {
+        auto out = limitsFor(MemoryShares(m_settings.memory));
+        out.headerBytes = limits.headerBytes;
+        out.bodyBytes = limits.bodyBytes;
+        out.headerTime = limits.headerTime;
+        out.idleTime = limits.idleTime;
+        out.connections = m_settings.callers.connectionLimit;
+        return out;
+    }
+
+    [[nodiscard]] static HttpServer::Limits readyCheckLimits()
+    {
+        HttpServer::Limits limits;
+        limits.connections = readyCheckConnections;
+        return limits;
+    }
+
     // --- Admin pages --------------------------------------------------------------------------------------------
 
     AdminReply answerAdmin(const AdminRequest& request)
@@ -265,6 +292,7 @@
             return AdminPages::notFound(request.path);
         m_metrics.setGauge("wrenhinge_log_lines_left_out", static_cast<double>(m_runtime.log().droppedLines()));
         m_driver.modify([this](ForwardLogic& logic) { setGauges(m_metrics, logic); });
+        setGauges(m_metrics, m_callers.counters());
         auto quotaMetrics = m_driver.modify([](ForwardLogic& logic) { return accountMetrics(logic.quotas()); });
         return { 200, "text/plain; version=0.0.4", m_metrics.text() + quotaMetrics + m_runtime.refusals().metrics() };
     }
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -76,6 +76,16 @@
         return settingsError("'" + text + "' is not a log level: write trace, debug, info, warn or error");
     }
 
+    /// With less, the shares of MemoryShares would not hold a request of the usual largest size.
+    constexpr std::uint64_t leastMemory = 48'000'000;
+    Result<std::uint64_t> parseMemory(const std::string& text)
+    {
+        auto value = parseBytes(text);
+        if (value && value.value() < leastMemory)
+            return settingsError("'" + text + "' is too little: write at least 48MB");
+        return value;
+    }
+
     Result<std::uint64_t> parsePositive(const std::string& text)
     {
         auto value = parseCount(text);
@@ -225,6 +235,7 @@
         root.required("zone", settings.zone, parseName);
         root.required("admin", settings.admin, parseAddress);
         root.optional("workers", settings.workers, parsePositive);
+        root.optional("memory", settings.memory, parseMemory);
         root.optional("drain-limit", settings.drainTimeout, parsePositiveDuration);
         readLog(root.child("log"), settings.log);
         if (settings.role != Role::Controller)
--- a/src/process/Settings.h
+++ b/src/process/Settings.h
@@ -74,6 +74,8 @@
     std::vector<std::string> controllers;
     std::vector<std::string> gateways; ///< Sidecars: the gateways to which the upstream is announced.
     std::uint32_t workers = 2;
+    /// Of the process, in bytes. What callers and replicas send is bounded by shares of it (MemoryShares).
+    std::size_t memory = 160'000'000;
     Duration drainTimeout = 30s;
     LogSettings log;
     CallerSettings callers;
--- a/src/request/forward/ForwardAccounts.cpp
+++ b/src/request/forward/ForwardAccounts.cpp
@@ -21,19 +21,28 @@
         return true;
     }
     flow.account = request.key ? flow.table->account(*request.key) : nullptr;
-    if (!flow.account && !flow.route->isPublic) {
-        // A gateway without contact to a controller may not know a new key yet, and callers don't retry after a 401.
-        bool mayHaveMissedIt = !m_quotas.hasContact(now);
+    if (auto error = accessRefusal(*flow.table, *flow.route, request, now)) {
         ++m_refusedKeys;
-        auto reason = request.key ? "the key " + request.key->shortHex() + " belongs to no account" : std::string("no key was presented");
-        auto code = mayHaveMissedIt && request.key ? ResultCode::ConfigUnavailable : ResultCode::UnknownAccount;
-        refuse(flow, code, reason, now);
+        refuse(flow, error->code, error->message, now);
         return false;
     }
     request.fingerprint = fingerprintForAccount(request.fingerprint, flow.account ? flow.account->name : "");
     return true;
 }
 
+/// Why the caller may not use the route; nothing: it may.
+std::optional<Error> ForwardLogic::accessRefusal(
+    const RouteTable& table, const Route& route, const RequestMetadata& request, Instant now) const
+{
+    if (!table.hasAccounts() || route.isPublic || (request.key && table.account(*request.key)))
+        return std::nullopt;
+    if (!request.key)
+        return Error { ResultCode::UnknownAccount, "no key was presented" };
+    // A gateway without contact to a controller may not know a new key yet, and callers don't retry after a 401.
+    auto code = m_quotas.hasContact(now) ? ResultCode::UnknownAccount : ResultCode::ConfigUnavailable;
+    return Error { code, "the key " + request.key->shortHex() + " belongs to no account" };
+}
+
 /// Refuses requests that have not been sent yet and whose key has been revoked, so that they don't run without an account.
 void ForwardLogic::refuseRevokedKeys(Instant now)
 {
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -25,6 +25,8 @@
     /// In bytes; callers choose their ids.
     constexpr std::size_t longestLoggedId = 64;
 
+    constexpr auto noRoute = "no route matches this host and path";
+
     /// A log line names at most this many parts of a prompt.
     constexpr std::size_t maxLoggedParts = 8;
 
@@ -87,6 +89,17 @@
     return m_table && (m_isConfirmed || now - m_firstDocumentAt >= unconfirmedDocumentDelay);
 }
 
+std::optional<Error> ForwardLogic::refusalAtHead(const RequestMetadata& request, Instant now) const
+{
+    // Without a document the request waits for one.
+    if (!isServing(now))
+        return std::nullopt;
+    const auto* route = m_table->find(normalisedHost(request.host), request.path);
+    if (!route)
+        return Error { ResultCode::UnknownService, noRoute };
+    return accessRefusal(*m_table, *route, request, now);
+}
+
 // --- Messages from controllers ----------------------------------------------------------------------------------
 
 void ForwardLogic::on(const DocumentReceived& event, Instant now)
@@ -153,7 +166,7 @@
     flow.table = m_table;
     flow.route = m_table->find(normalisedHost(request.host), request.path);
     if (!flow.route)
-        return refuse(flow, ResultCode::UnknownService, "no route matches this host and path", now);
+        return refuse(flow, ResultCode::UnknownService, noRoute, now);
     if (!authenticate(flow, now))
         return;
     flow.deadline = flow.arrivedAt + std::min(request.callerTimeout.value_or(flow.route->timeout), flow.route->timeout);
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -50,6 +50,9 @@
 public:
     using Effects = std::vector<forward::Effect>;
 
+    /// Default limit of what is buffered of all answers in progress together.
+    static constexpr std::size_t maxBufferedBytes = 16u << 20;
+
     struct Settings {
         std::string zone;
         std::uint64_t seed = 1;
@@ -57,6 +60,7 @@
         std::string name {}; ///< Of this gateway; the same after a restart.
         QuotaSettings quotas {};
         AnnouncementTimes announcements {}; ///< Of replicas.
+        std::size_t bufferedBytes = maxBufferedBytes;
     };
 
     /// A document that no controller has confirmed takes effect after this long, so that a site that is cut off continues to serve.
@@ -81,8 +85,6 @@
     static constexpr Duration minOverloadRetryAfter = 2500ms;
     /// For how long gateways that have ended may still have calls in progress.
     static constexpr Duration gatewayMemory = 10s;
-    /// Limit of what is buffered of all answers in progress: a seventh of the memory of the smallest instances.
-    static constexpr std::size_t maxBufferedBytes = 16u << 20;
     /// Size limit of one event of a stream. Events in use have some hundred bytes.
     static constexpr std::size_t maxEventBytes = 1u << 20;
     /// Maximum number of sends of one request, including those that a replica did not run.
@@ -95,6 +97,8 @@
 
     /// Whether a routing document is in effect, so that requests can be routed.
     [[nodiscard]] bool isServing(Instant now) const;
+    /// The refusal of a request that it gets whatever its body is, so that the body need not be received.
+    [[nodiscard]] std::optional<Error> refusalAtHead(const forward::RequestMetadata&, Instant now) const;
     [[nodiscard]] std::size_t requests() const { return m_flows.size(); }
     [[nodiscard]] const ReplicaTable& replicas() const { return m_replicas; }
     /// Retries that the budget still allows in the current window, by service.
@@ -178,6 +182,7 @@
     void refuseResumption(Flow&, const std::string& reason, std::optional<Duration> retryAfter, Instant);
     // Authentication and quotas of client accounts (ForwardAccounts.cpp).
     bool authenticate(Flow&, Instant);
+    [[nodiscard]] std::optional<Error> accessRefusal(const RouteTable&, const Route&, const forward::RequestMetadata&, Instant now) const;
     void refuseRevokedKeys(Instant);
     void applyQuotaRules(Instant);
     bool chargeQuota(Flow&, Instant);
@@ -308,7 +313,7 @@
     bool m_hasNewConviction = false; ///< Requests with convicted content that have not run are refused at the end of the step.
     LoadShedder m_shedder; ///< For plain services; engines have reservations.
     StreamForecast m_forecast;
-    BufferBudget<RequestId> m_buffered { maxBufferedBytes };
+    BufferBudget<RequestId> m_buffered { m_settings.bufferedBytes };
     std::optional<Instant> m_shutdownAt; ///< When this process exits; set once shutdown has begun.
     std::unordered_map<RequestId, Flow> m_flows;
     std::set<std::pair<Instant, RequestId>> m_wakes; ///< By ForwardFlow::wakeAt.
