When all connections are taken, one without a request makes room for the newest

Callers saw: beside 5,000 connections that send nothing, half a head or half a body, 1 to 3 of 20 ordinary callers were served at the callers' address.

Cause: what came beyond the limit was closed at once, and who came first stayed, whatever it sent. The readiness check had as many connections as the callers, so both together had more than there are descriptors.

Why it holds: a connection that has sent no whole request for half a second goes first, longest first; then the one that is idle for longest; never one with a request in progress. All callers come through the platform's balancer, so no limit goes by their address.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -24,8 +24,12 @@
     constexpr std::size_t headCopies = 2;
     /// When a caller may come again that was refused for the memory of requests.
     constexpr auto retryAfterSeconds = "1";
+    /// A connection is given this long to send its first request before it is closed for a newer one.
+    constexpr Duration firstRequestTime = 500ms;
     /// What the kernel keeps of a connection that is not read yet.
     constexpr int receiveBufferBytes = 64 * 1024;
+    /// Looks at so many connections for one to close.
+    constexpr int roomAttempts = 8;
     /// How long a connection is still read after its sending side was closed. Closing it with unread bytes would reset it, and the
     /// last answer could be lost.
     constexpr Duration lingerTime = 1s;
@@ -101,12 +105,21 @@
         m_socket.set_option(Tcp::no_delay(true), ignored);
         failWhenSilent(m_socket.native_handle(), callerSilenceMs);
         expectRequest();
+        queueIn(m_server.m_unproductive);
         read();
     }
 
     [[nodiscard]] bool isBusy() const { return m_state == State::Reading || m_state == State::Answering || m_isWriting; }
     /// Whether no request is in progress and no bytes wait to be read, so that closing the connection loses no request.
     [[nodiscard]] bool isIdle() { return m_state == State::Idle && !m_isWriting && !m_input.size() && isQuiet(m_socket); }
+    /// Since when it has been in its queue.
+    [[nodiscard]] Instant queuedSince() const { return m_queuedSince; }
+    /// Moves it to the end of its queue.
+    void queueAgain()
+    {
+        m_queue->splice(m_queue->end(), *m_queue, m_inQueue);
+        m_queuedSince = currentInstant();
+    }
 
     void reply(int status, const HeaderList& headers, std::string body) override
     {
@@ -179,6 +192,7 @@
         releaseInput();
         m_output.clear();
         noteUnsent();
+        queueIn(m_server.m_unproductive);
         ErrorCode ignored;
         m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
         m_lingersUntil = currentInstant() + m_server.m_limits.idleTime;
@@ -202,6 +216,20 @@
         m_timer.start(std::min(lingerTime, left), [self = shared_from_this()] { self->close(); });
     }
 
+    void queueIn(Connections& queue)
+    {
+        leaveQueue();
+        m_queue = &queue;
+        m_inQueue = queue.insert(queue.end(), this);
+        m_queuedSince = currentInstant();
+    }
+
+    void leaveQueue()
+    {
+        if (auto* queue = std::exchange(m_queue, nullptr))
+            queue->erase(m_inQueue);
+    }
+
     void releaseInput()
     {
         m_input = {};
@@ -383,6 +411,8 @@
     void beginRequest()
     {
         m_state = State::Reading;
+        if (m_queue != &m_server.m_unproductive)
+            queueIn(m_server.m_unproductive);
         m_startedAt = currentInstant();
         m_request = {};
         m_parser.emplace();
@@ -402,6 +432,7 @@
     {
         m_state = State::Answering;
         m_timer.cancel();
+        leaveQueue();
         m_server.m_receiving.set(this, 0);
         auto request = std::exchange(m_request, {});
         request.body = std::move(m_parser->get().body());
@@ -451,6 +482,7 @@
         if (!m_keepAlive || m_server.m_isClosed)
             return closeWhenWritten();
         expectRequest();
+        queueIn(m_server.m_idle);
         // The next request may already be buffered. It is parsed later, since this may be called from within parse().
         boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
             if (self->m_state == State::Idle)
@@ -464,6 +496,7 @@
         m_state = State::Ending;
         m_timer.cancel();
         releaseInput();
+        queueIn(m_server.m_unproductive);
         if (!m_isWriting)
             closeGently();
     }
@@ -515,6 +548,7 @@
         m_server.m_connections.erase(self);
         m_server.m_unsent.set(this, 0);
         m_server.m_receiving.set(this, 0);
+        leaveQueue();
         leave(State::Closed);
     }
 
@@ -538,6 +572,9 @@
     std::string m_output;
     std::string m_inFlight;
     std::size_t m_discarded = 0;
+    Connections* m_queue = nullptr; ///< The list of the server that it is in.
+    Connections::iterator m_inQueue;
+    Instant m_queuedSince;
     Instant m_startedAt;
     Instant m_idleSince;
     Instant m_lingersUntil;
@@ -590,7 +627,7 @@
         if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
             return;
         // Beyond the limit the connection is closed unread, so the caller may safely try another gateway.
-        if (!ec && m_connections.size() < m_limits.connections) {
+        if (!ec && (m_connections.size() < m_limits.connections || makeRoom())) {
             auto connection = std::make_shared<Connection>(*this, std::move(socket));
             m_connections.insert(connection);
             connection->start();
@@ -598,11 +635,37 @@
         if (!ec)
             return accept();
         // The process is probably out of file descriptors, so an immediate retry would fail too.
+        makeRoom();
         auto timer = std::make_shared<boost::asio::steady_timer>(m_strand, acceptAgainAfter);
         timer->async_wait([this, timer](ErrorCode) { accept(); });
     });
 }
 
+/// Closes the connection that is least likely to be of use and has no request in progress. \returns false if there is none.
+bool HttpServer::makeRoom()
+{
+    return makeRoomIn(m_unproductive, firstRequestTime) || makeRoomIn(m_idle, Duration::zero())
+        || makeRoomIn(m_unproductive, Duration::zero());
+}
+
+bool HttpServer::makeRoomIn(Connections& queue, Duration minAge)
+{
+    for (int i = 0; i < roomAttempts && !queue.empty(); ++i) {
+        auto* connection = queue.front();
+        if (currentInstant() - connection->queuedSince() < minAge)
+            return false;
+        // A request has arrived that will be read next.
+        if (&queue == &m_idle && !connection->isIdle()) {
+            connection->queueAgain();
+            continue;
+        }
+        ++m_counters.closedForRoom;
+        connection->disconnect();
+        return true;
+    }
+    return false;
+}
+
 void HttpServer::closeLargestUnsent()
 {
     for (auto largest = m_unsent.excess(); largest; largest = m_unsent.excess()) {
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -10,6 +10,7 @@
  * - Requests that are being received: beyond the limit the largest is refused as not run, which spares the many small ones.
  * - Requests in progress: one that doesn't fit is refused as not run (RequestMemory).
  * - Answers that aren't read: beyond the limit the connection with the most bytes is closed.
+ * - Connections: beyond the limit one that has no request in progress is closed, first of all one that has sent none.
  * A request whose answer needs its head alone is answered before its body has come.
  *
  * Runs on the strand passed to it.
@@ -24,6 +25,7 @@
 
 #include <atomic>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <set>
@@ -90,6 +92,7 @@
         std::atomic<std::uint64_t> answeredAtHead = 0;
         std::atomic<std::uint64_t> refusedWhileReceived = 0; ///< Too many bytes of requests that have not come whole.
         std::atomic<std::uint64_t> refusedWhenReceived = 0; ///< Too many bytes of requests in progress.
+        std::atomic<std::uint64_t> closedForRoom = 0; ///< For newer connections.
         std::atomic<std::uint64_t> closedUnread = 0; ///< Their callers read no answers.
     };
 
@@ -109,7 +112,10 @@
 
 private:
     class Connection;
+    using Connections = std::list<Connection*>;
     void accept();
+    bool makeRoom();
+    bool makeRoomIn(Connections&, Duration minAge);
     void closeLargestUnsent();
     void refuseLargestReceived();
 
@@ -120,6 +126,8 @@
     Counters m_counters;
     Tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Connection>> m_connections;
+    Connections m_unproductive; ///< Those that have sent no request yet, or not the whole of one; oldest first.
+    Connections m_idle; ///< Those between two requests; idle for longest first.
     BufferBudget<Connection*> m_unsent { m_limits.unsentBytes };
     BufferBudget<Connection*> m_receiving { m_limits.receivingBytes };
     RequestMemory m_inProgress { m_limits.progressBytes };
--- a/src/process/ForwardMetrics.h
+++ b/src/process/ForwardMetrics.h
@@ -36,6 +36,7 @@
     set("wrenhinge_callers_answered_at_head_total", counters.answeredAtHead);
     set("wrenhinge_callers_refused_while_received_total", counters.refusedWhileReceived);
     set("wrenhinge_callers_refused_when_received_total", counters.refusedWhenReceived);
+    set("wrenhinge_callers_closed_for_room_total", counters.closedForRoom);
     set("wrenhinge_callers_closed_unread_total", counters.closedUnread);
 }
 
