A caller that sends far ahead, or takes nothing of its answers, loses its connection

Cause: 64 KB of requests were kept for each connection, and the next one was served while the answers of those before it still waited to be sent; what waited to be sent had no time limit, as a peer that is there acknowledges probes.

Now: the next request of a connection is looked at once the answer before has left; beyond 16 KB sent ahead the connection ends after its answer, which says so; a caller that takes nothing of an answer for the idle time is closed.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -15,8 +15,8 @@
 
     namespace http = boost::beast::http;
 
-    /// Pipelined bytes that are buffered while a request is in progress.
-    constexpr std::size_t readAheadLimit = 64 * 1024;
+    /// Pipelined bytes that are buffered while a request is in progress. Beyond them the connection is closed after its answer.
+    constexpr std::size_t readAheadLimit = 16 * 1024;
     /// An input buffer that has grown beyond this is released between requests.
     constexpr std::size_t keptInputBytes = 4096;
     /// Memory of a request in progress besides its bytes; they stand twice, here and in the call to a replica.
@@ -96,6 +96,7 @@
         : m_server(server)
         , m_socket(std::move(socket))
         , m_timer(m_socket.get_executor())
+        , m_writeTimer(m_socket.get_executor())
     {
     }
 
@@ -191,6 +192,7 @@
         leave(State::Lingering);
         releaseInput();
         m_output.clear();
+        m_writeTimer.cancel();
         noteUnsent();
         queueIn(m_server.m_unproductive);
         ErrorCode ignored;
@@ -282,8 +284,6 @@
     {
         if (m_isReading || m_state == State::Closed)
             return;
-        if (m_state == State::Answering && m_input.size() > readAheadLimit)
-            return;
         m_isReading = true;
         readSomeOrEnd(
             m_socket, boost::asio::buffer(m_chunk), [self = shared_from_this()](ErrorCode ec, std::size_t n) { self->received(ec, n); });
@@ -296,7 +296,7 @@
             return;
         if (ec)
             return close();
-        if (m_state == State::Lingering || m_state == State::Ending)
+        if (m_state == State::Lingering || m_state == State::Ending || m_isOverrun)
             discard(n);
         else
             take(n);
@@ -315,15 +315,30 @@
 
     void take(std::size_t n)
     {
+        bool isAhead = m_state == State::Answering || (m_state == State::Idle && m_isWriting);
+        if (isAhead && m_input.size() + n > readAheadLimit)
+            return stopReadingAhead();
         boost::asio::buffer_copy(m_input.prepare(n), boost::asio::buffer(m_chunk, n));
         m_input.commit(n);
         if (m_state != State::Answering)
             parse();
     }
 
+    /// The caller sees that the connection ends after the answer, and so that what it has sent ahead has not run.
+    void stopReadingAhead()
+    {
+        ++m_server.m_counters.sentTooFarAhead;
+        m_isOverrun = true;
+        m_keepAlive = false;
+        m_input = {};
+        if (m_state == State::Idle)
+            closeWhenWritten();
+    }
+
     void parse()
     {
-        if (!m_input.size())
+        // A caller that sends requests ahead and reads no answers has no claim to further ones.
+        if (!m_input.size() || (m_state == State::Idle && m_isWriting))
             return;
         if (m_state == State::Idle)
             beginRequest();
@@ -520,21 +535,43 @@
         m_isWriting = true;
         m_inFlight = std::move(m_output);
         m_output.clear();
-        boost::asio::async_write(m_socket, boost::asio::buffer(m_inFlight), [self = shared_from_this()](ErrorCode ec, std::size_t) {
-            self->m_isWriting = false;
-            self->m_inFlight = {};
-            if (self->m_state == State::Closed)
-                return;
-            self->noteUnsent();
-            if (ec)
-                return self->close();
-            if (!self->m_output.empty())
-                return self->flush();
-            if (self->m_state == State::Ending)
-                self->closeGently();
-            else if (self->m_state == State::Idle)
-                self->waitForRequest();
+        m_written = 0;
+        writeSome();
+    }
+
+    /// Each part that the caller takes gives it the idle time for the next.
+    void writeSome()
+    {
+        m_writeTimer.limit(m_server.m_limits.idleTime, [self = shared_from_this()] {
+            ++self->m_server.m_counters.closedUnread;
+            self->close();
         });
+        auto rest = boost::asio::buffer(m_inFlight) + m_written;
+        m_socket.async_write_some(rest, [self = shared_from_this()](ErrorCode ec, std::size_t n) { self->wrote(ec, n); });
+    }
+
+    void wrote(ErrorCode ec, std::size_t n)
+    {
+        m_written += n;
+        if (m_state == State::Closed)
+            return;
+        if (ec)
+            return close();
+        if (m_written < m_inFlight.size())
+            return writeSome();
+        m_isWriting = false;
+        m_inFlight = {};
+        m_writeTimer.cancel();
+        noteUnsent();
+        if (!m_output.empty())
+            return flush();
+        if (m_state == State::Ending)
+            return closeGently();
+        if (m_state != State::Idle)
+            return;
+        waitForRequest();
+        parse();
+        read();
     }
 
     void close()
@@ -543,6 +580,7 @@
             return;
         auto self = shared_from_this();
         m_timer.cancel();
+        m_writeTimer.cancel();
         ErrorCode ignored;
         m_socket.close(ignored);
         m_server.m_connections.erase(self);
@@ -565,12 +603,14 @@
     HttpServer& m_server;
     Tcp::socket m_socket;
     Timer m_timer; ///< Limits the time in the present state.
+    Timer m_writeTimer; ///< Limits the time until the caller takes some of its answer.
     boost::beast::flat_buffer m_input;
     std::array<char, 4096> m_chunk {};
     std::optional<RequestParser> m_parser;
     HttpRequest m_request; ///< The head of the request that is being received.
     std::string m_output;
     std::string m_inFlight;
+    std::size_t m_written = 0; ///< Of m_inFlight.
     std::size_t m_discarded = 0;
     Connections* m_queue = nullptr; ///< The list of the server that it is in.
     Connections::iterator m_inQueue;
@@ -588,6 +628,7 @@
     bool m_sentContinue = false;
     bool m_expectsContinue = false;
     bool m_hasCheckedHead = false;
+    bool m_isOverrun = false; ///< The caller has sent more ahead than is kept.
 };
 
 HttpServer::HttpServer(Strand strand, Handler handler, HeadCheck headCheck)
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -9,7 +9,8 @@
  * Callers may do anything, so what they all take together is bounded (docs/design/callers-limits.md):
  * - Requests that are being received: beyond the limit the largest is refused as not run, which spares the many small ones.
  * - Requests in progress: one that doesn't fit is refused as not run (RequestMemory).
- * - Answers that aren't read: beyond the limit the connection with the most bytes is closed.
+ * - Answers that aren't read: beyond the limit the connection with the most bytes is closed, and so is one that takes nothing for the idle
+ *   time.
  * - Connections: beyond the limit one that has no request in progress is closed, first of all one that has sent none.
  * A request whose answer needs its head alone is answered before its body has come.
  *
@@ -94,6 +95,7 @@
         std::atomic<std::uint64_t> refusedWhenReceived = 0; ///< Too many bytes of requests in progress.
         std::atomic<std::uint64_t> closedForRoom = 0; ///< For newer connections.
         std::atomic<std::uint64_t> closedUnread = 0; ///< Their callers read no answers.
+        std::atomic<std::uint64_t> sentTooFarAhead = 0;
     };
 
     HttpServer(Strand, Handler, HeadCheck = nullptr);
--- a/src/process/ForwardMetrics.h
+++ b/src/process/ForwardMetrics.h
@@ -38,6 +38,7 @@
     set("wrenhinge_callers_refused_when_received_total", counters.refusedWhenReceived);
     set("wrenhinge_callers_closed_for_room_total", counters.closedForRoom);
     set("wrenhinge_callers_closed_unread_total", counters.closedUnread);
+    set("wrenhinge_callers_sent_too_far_ahead_total", counters.sentTooFarAhead);
 }
 
 } // namespace wrenhinge
