The small pieces of a request are read together

After 16 small pieces a request is read with pauses of 20 ms, in which its pieces come together in the kernel; whole requests and large pieces are read as before.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -26,6 +26,10 @@
     constexpr auto retryAfterSeconds = "1";
     /// A connection is given this long to send its first request before it is closed for a newer one.
     constexpr Duration firstRequestTime = 500ms;
+    /// A request may come in so many pieces of fewer bytes than this, and is then read with pauses.
+    constexpr int freeSmallReads = 16;
+    constexpr std::size_t smallReadBytes = 512;
+    constexpr Duration smallReadPause = 20ms;
     /// What the kernel keeps of a connection that is not read yet.
     constexpr int receiveBufferBytes = 64 * 1024;
     /// Looks at so many connections for one to close.
@@ -282,16 +286,30 @@
 
     void read()
     {
-        if (m_isReading || m_state == State::Closed)
+        if (m_isReading || m_state == State::Closed || m_pause)
             return;
+        if (m_state == State::Reading && m_smallReads > freeSmallReads)
+            return pause();
         m_isReading = true;
         readSomeOrEnd(
             m_socket, boost::asio::buffer(m_chunk), [self = shared_from_this()](ErrorCode ec, std::size_t n) { self->received(ec, n); });
     }
 
+    /// Lets the small pieces of a request come together: each costs as much processor time as a large one.
+    void pause()
+    {
+        m_smallReads = freeSmallReads;
+        m_pause.emplace(m_socket.get_executor());
+        m_pause->start(smallReadPause, [self = shared_from_this()] {
+            self->m_pause.reset();
+            self->read();
+        });
+    }
+
     void received(ErrorCode ec, std::size_t n)
     {
         m_isReading = false;
+        m_smallReads += n < smallReadBytes ? 1 : 0;
         if (m_state == State::Closed)
             return;
         if (ec)
@@ -429,6 +447,7 @@
         if (m_queue != &m_server.m_unproductive)
             queueIn(m_server.m_unproductive);
         m_startedAt = currentInstant();
+        m_smallReads = 0;
         m_request = {};
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(m_server.m_limits.headerBytes));
@@ -612,6 +631,8 @@
     std::string m_inFlight;
     std::size_t m_written = 0; ///< Of m_inFlight.
     std::size_t m_discarded = 0;
+    int m_smallReads = 0; ///< Of the present request.
+    std::optional<Timer> m_pause; ///< Set while it isn't read.
     Connections* m_queue = nullptr; ///< The list of the server that it is in.
     Connections::iterator m_inQueue;
     Instant m_queuedSince;
