A JSON text's levels and values are counted before it is read

Callers saw: two bodies of 1 MB of lists in lists end a gateway with sidecars, with all its requests. Four bodies of 4 MiB of short values end a controller of 88 MB (90 MB when the test ended it).

Cause: the own protocol's bodies were read without a look at their levels, and the prompt's text is gathered by a function that calls itself for each; a value takes up to a hundred bytes, where its text may have two.

Why it holds: 64 levels as for all other texts, and 300,000 values, counted over the bytes before anything is kept. A document of 4,200 routes and 14,000 accounts, the size to design for, has some 170,000 (worked out).

--- a/src/connection/CallerProtocol.cpp
+++ b/src/connection/CallerProtocol.cpp
@@ -1,5 +1,6 @@
 #include "connection/CallerProtocol.h"
 
+#include "connection/JsonFields.h"
 #include "request/sidecar/PrefixIndex.h"
 
 #include <algorithm>
@@ -10,8 +11,6 @@
 
 namespace {
 
-    using Json = nlohmann::json;
-
     constexpr std::string_view chatPath = "/v1/chat/completions";
     constexpr std::string_view completionPath = "/v1/completions";
     constexpr std::string_view servicePrefix = "/services/";
@@ -103,13 +102,25 @@
         return blocks;
     }
 
+    Result<Json> readObject(const std::string& body)
+    {
+        try {
+            if (auto json = readJson(body, DuplicateKeys::LastCounts); json.is_object())
+                return json;
+        } catch (const Json::exception& e) {
+            return malformed("the body is not a JSON object: " + reasonOf(e));
+        }
+        return malformed("the body is not a JSON object; send one");
+    }
+
     Result<CallerRequest> readGeneration(CallerRequest caller, bool isChat)
     {
         if (caller.method != "POST")
             return malformed("use POST for " + caller.target);
-        auto json = Json::parse(caller.body, nullptr, false);
-        if (!json.is_object())
-            return malformed("the body is not a JSON object; send one");
+        auto object = readObject(caller.body);
+        if (!object)
+            return object.error();
+        const auto& json = object.value();
         if (!json.contains("model") || !json["model"].is_string() || json["model"].get_ref<const std::string&>().empty())
             return malformed("`model` must name the service or its model");
         if (json.contains("stream") && !json["stream"].is_boolean() && !json["stream"].is_null())
@@ -173,7 +184,18 @@
         return readGeneration(std::move(caller), path == chatPath);
     if (path.starts_with(servicePrefix))
         return readServiceCall(std::move(caller));
-    return Error { ResultCode::UnknownService, "unknown path; use /v1/chat/completions, /v1/completions or /services/<service>/<path>" };
+    return unknownPath();
+}
+
+bool isKnownPath(const std::string& target)
+{
+    auto path = target.substr(0, target.find('?'));
+    return path == chatPath || path == completionPath || path.starts_with(servicePrefix);
+}
+
+Error unknownPath()
+{
+    return { ResultCode::UnknownService, "unknown path; use /v1/chat/completions, /v1/completions or /services/<service>/<path>" };
 }
 
 std::string errorBody(const Error& error, const RequestId& id)
--- a/src/connection/CallerProtocol.h
+++ b/src/connection/CallerProtocol.h
@@ -22,6 +22,10 @@
 /// Headers: `Idempotency-Key` identifies the request, `Wrenhinge-Priority: urgent` requests urgent service.
 Result<CallerRequest> readCallerRequest(CallerHttpRequest, const std::string& account);
 
+/// Whether a request with this target may be of this protocol.
+bool isKnownPath(const std::string& target);
+Error unknownPath();
+
 /// The JSON body of an error.
 std::string errorBody(const Error&, const RequestId&);
 /// `Retry-After` in whole seconds, at least one.
--- a/src/connection/JsonFields.cpp
+++ b/src/connection/JsonFields.cpp
@@ -3,6 +3,7 @@
 #include "connection/MessageCheck.h"
 
 #include <cmath>
+#include <optional>
 #include <set>
 
 namespace wrenhinge {
@@ -15,26 +16,34 @@
     constexpr std::size_t shownBytes = 40;
     constexpr std::size_t longestReason = 300;
 
+    /// A value takes up to a hundred bytes, where its text may have two. The largest documents in use have some ten thousands.
+    constexpr std::size_t mostValues = 300'000;
+
     /// Counted before parsing: a text of brackets only takes fifty times its size in memory once it is parsed.
-    bool nestsTooDeep(const std::string& text)
+    /// \returns what is wrong with the text's shape, or nothing.
+    std::optional<std::string> shapeFault(const std::string& text)
     {
         int depth = 0;
+        std::size_t values = 1;
         bool isInText = false;
         for (std::size_t i = 0; i < text.size(); ++i) {
             char c = text[i];
             if (isInText) {
                 i += c == '\\' ? 1 : 0;
                 isInText = c != '"';
-            } else if (c == '"') {
-                isInText = true;
-            } else if (c == '[' || c == '{') {
-                if (++depth > deepestNesting)
-                    return true;
-            } else if (c == ']' || c == '}') {
-                --depth;
+                continue;
             }
+            isInText = c == '"';
+            bool isOpening = c == '[' || c == '{';
+            depth += isOpening ? 1 : 0;
+            depth -= c == ']' || c == '}' ? 1 : 0;
+            values += isOpening || c == ',' || c == ':' ? 1 : 0;
+            if (depth > deepestNesting)
+                return "it nests deeper than " + std::to_string(deepestNesting) + " levels";
+            if (values > mostValues)
+                return "it has more than " + std::to_string(mostValues) + " values";
         }
-        return false;
+        return std::nullopt;
     }
 
     std::string shown(const Json& value)
@@ -58,8 +67,8 @@
 
 Json readJson(const std::string& text, DuplicateKeys duplicates, const Json::parser_callback_t& take)
 {
-    if (nestsTooDeep(text))
-        throw FieldFault("it nests deeper than " + std::to_string(deepestNesting) + " levels");
+    if (auto fault = shapeFault(text))
+        throw FieldFault(*fault);
     if (duplicates == DuplicateKeys::LastCounts)
         return Json::parse(text, take);
     std::set<std::string> keys;
--- a/src/connection/JsonFields.h
+++ b/src/connection/JsonFields.h
@@ -27,7 +27,8 @@
 
 enum class DuplicateKeys : std::uint8_t { LastCounts, Refused };
 
-/// Parses the JSON value in `text`. Throws Json::exception if there isn't exactly one, or if it is nested too deeply.
+/// Parses the JSON value in `text`. Throws Json::exception if there isn't exactly one, if it is nested too deeply, or if it has so many
+/// values that it would take many times its size in memory.
 /// \param duplicates what to do if the outermost object has a key twice, which two parsers may read differently.
 /// \param take the parser's callback, which decides which values are kept; for LastCounts only.
 Json readJson(const std::string& text, DuplicateKeys duplicates, const Json::parser_callback_t& take = nullptr);
--- a/test/support/MemoryWatch.h
+++ b/test/support/MemoryWatch.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace wrenhinge::test {
 
@@ -37,6 +38,24 @@
 
     /// \returns the most since the last call, in bytes.
     std::size_t takeMost() { return m_most.exchange(0); }
+    /// \returns the processor time since the last call, in seconds.
+    double takeProcessorSeconds()
+    {
+        std::ifstream in("/proc/" + std::to_string(m_process.id()) + "/stat");
+        std::string text;
+        std::getline(in, text);
+        // Behind the name in brackets: state, then ten numbers, then user and system time in ticks.
+        std::istringstream words(text.substr(text.rfind(')') + 1));
+        constexpr int skipped = 11;
+        std::string word;
+        for (int i = 0; i < skipped; ++i)
+            words >> word;
+        double user = 0;
+        double system = 0;
+        words >> user >> system;
+        auto seconds = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+        return seconds - std::exchange(m_processorSeconds, seconds);
+    }
     /// Whether the process was ended because it had more than the limit.
     [[nodiscard]] bool wasExceeded() const { return m_wasExceeded; }
 
@@ -95,6 +114,7 @@
     Process& m_process;
     std::set<std::uint16_t> m_ports;
     std::size_t m_limit;
+    double m_processorSeconds = 0;
     std::atomic<std::size_t> m_most = 0;
     std::atomic<bool> m_wasExceeded = false;
     std::atomic<bool> m_isEnding = false;
--- /dev/null
+++ b/test/support/RawClient.h
@@ -0,0 +1,84 @@
+/** \file
+ * A client of a test that sends what it likes, and the parts of requests that such clients are made of.
+ */
+#pragma once
+
+#include "connection/Asio.h"
+
+#include <array>
+#include <string>
+#include <sys/socket.h>
+#include <sys/time.h>
+
+namespace wrenhinge::test {
+
+inline std::uint16_t portOf(const std::string& address)
+{
+    return static_cast<std::uint16_t>(std::stoul(address.substr(address.find(':') + 1)));
+}
+
+/// A client's connection. Its writes and reads end without an error where the other side has closed.
+class RawClient {
+public:
+    explicit RawClient(const std::string& address)
+    {
+        ErrorCode ignored;
+        m_socket.connect({ boost::asio::ip::make_address(address.substr(0, address.find(':'))), portOf(address) }, ignored);
+        timeval patience { 10, 0 };
+        ::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof patience);
+        ::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    }
+    bool send(const std::string& bytes)
+    {
+        for (std::size_t sent = 0; sent < bytes.size();) {
+            auto n = ::send(m_socket.native_handle(), bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            if (n <= 0)
+                return false;
+            sent += static_cast<std::size_t>(n);
+        }
+        return true;
+    }
+    /// Sends what is taken at once, and leaves out the rest.
+    void sendSome(const std::string& bytes)
+    {
+        (void)::send(m_socket.native_handle(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+    /// \returns the status of the next answer; zero if there is none.
+    int readStatus()
+    {
+        std::array<char, 4096> part {};
+        std::string bytes;
+        while (bytes.find("\r\n\r\n") == std::string::npos) {
+            auto n = ::recv(m_socket.native_handle(), part.data(), part.size(), 0);
+            if (n <= 0)
+                return 0;
+            bytes.append(part.data(), static_cast<std::size_t>(n));
+        }
+        return std::stoi(bytes.substr(bytes.find(' ') + 1, 3));
+    }
+
+private:
+    inline static IoContext io;
+    Tcp::socket m_socket { io };
+};
+
+inline std::string lengthField(std::size_t n) { return "Content-Length: " + std::to_string(n) + "\r\n"; }
+inline std::string chunk(const std::string& bytes)
+{
+    std::array<char, 20> size {};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return size.data() + bytes + "\r\n";
+}
+inline const std::string chunked = "Transfer-Encoding: chunked\r\n";
+
+/// Fields as short as they can be, so many that the head is just inside its limit.
+inline std::string shortFields(std::size_t headerLimit)
+{
+    constexpr std::size_t spare = 400;
+    std::string fields;
+    while (fields.size() < headerLimit - spare)
+        fields += "a:b\r\n";
+    return fields;
+}
+
+} // namespace wrenhinge::test
