One server for callers of both protocols; refusals in the words of each

Callers of the own protocol saw: 40 bodies of the largest size take the gateway to 162 MB (160 is the default of `memory`), beside a crowd of 4,000 connections 2 of 20 ordinary callers are served.

Cause: CallerServer had its own connections, with the faults that HttpServer had, and none of its limits.

CallerServer words requests and answers now, HttpServer has the connections. Its own refusals are worded by the protocol and repeat the caller's id; an answer with a length keeps it; what was written before a break still leaves.

--- a/src/connection/CallerServer.h
+++ b/src/connection/CallerServer.h
@@ -1,14 +1,12 @@
 /** \file
- * Callers' HTTP/1.1 connections (Boost.Beast): reads requests, passes each to the gateway's logic, writes its answer.
- *
- * One request of a connection is in progress at a time, so pipelined requests are answered in order. Meanwhile the connection is read: a
- * caller that closes it, or only its sending side, has disconnected, and everything that its request holds is released.
+ * The callers' side of a gateway with sidecars: reads callers' requests in the project's own protocol, passes each to the gateway's logic,
+ * and words its answer. HttpServer has the connections.
  */
 #pragma once
 
 #include "connection/AccountBook.h"
-#include "connection/Asio.h"
 #include "connection/CallerSettings.h"
+#include "connection/HttpServer.h"
 #include "request/sidecar/GatewayEvents.h"
 
 #include <atomic>
@@ -26,9 +24,9 @@
         std::function<void(const RequestId&)> onGone;
     };
 
+    /// \param limits of connections and memory; the others are in the settings.
     /// \param origin this run of the gateway, the first half of the ids that it gives to requests.
-    CallerServer(IoContext&, CallerSettings, PeerId origin, Handlers);
-    ~CallerServer();
+    CallerServer(IoContext&, CallerSettings, HttpServer::Limits, PeerId origin, Handlers);
 
     /// Reads the accounts and listens. \returns the bound address.
     Result<std::string> start();
@@ -44,30 +42,36 @@
     void error(const RequestId&, const Error&);
     void breakOff(const RequestId&, const Error&);
 
-    [[nodiscard]] std::size_t connections() const { return m_connections; }
-    /// Requests whose answer has not wholly left yet.
-    [[nodiscard]] std::size_t unfinished() const { return m_unfinished; }
+    [[nodiscard]] std::size_t connections() const { return m_server.connections(); }
+    /// After stopAccepting: requests whose answer has not wholly left yet, as of the last call.
+    [[nodiscard]] std::size_t unfinished();
+    [[nodiscard]] const HttpServer::Counters& counters() const { return m_server.counters(); }
 
 private:
-    class Connection;
-    void accept();
-    std::shared_ptr<Connection> find(const RequestId&, bool forget);
-    RequestId adopt(const std::shared_ptr<Connection>&);
-    void forget(const RequestId&);
+    HttpServer::HeadDecision decideAtHead(const HttpRequest&);
+    void onRequest(HttpRequest&&, const std::shared_ptr<HttpAnswer>&);
+    [[nodiscard]] Result<std::string> accountOf(const HttpRequest&);
+    template <typename F> void withAnswer(const RequestId&, F);
+    void finish(const RequestId&);
     std::shared_ptr<const AccountBook> accounts();
 
-    IoContext& m_io;
+    /// A request in progress.
+    struct Exchange {
+        std::shared_ptr<HttpAnswer> answer;
+        std::shared_ptr<const RequestMemory::Share> memory;
+        bool isStream = false; ///< Its answer has begun without a length.
+    };
+
     CallerSettings m_settings;
     PeerId m_origin;
     Handlers m_handlers;
-    Tcp::acceptor m_acceptor;
-    std::atomic<std::size_t> m_connections = 0;
+    Strand m_strand;
+    HttpServer m_server; ///< Accessed on the strand, as the exchanges are.
+    std::unordered_map<RequestId, Exchange> m_exchanges;
+    std::uint64_t m_lastSequence = 0;
     std::atomic<std::size_t> m_unfinished = 0;
-    std::atomic<bool> m_isStopping = false;
-    std::mutex m_mutex; ///< Guards what follows; taken after the logic's lock, never before it.
-    std::unordered_map<RequestId, std::weak_ptr<Connection>> m_requests;
+    std::mutex m_mutex; ///< Guards the accounts.
     std::shared_ptr<const AccountBook> m_accounts;
-    std::uint64_t m_lastSequence = 0;
 };
 
 } // namespace wrenhinge
--- a/src/connection/HeaderFields.cpp
+++ b/src/connection/HeaderFields.cpp
@@ -14,8 +14,8 @@
 HeaderFields::Field HeaderFields::Iterator::operator*() const
 {
     auto line = m_rest.substr(0, m_rest.find(lineEnd));
-    auto colon = line.find(':');
-    return { line.substr(0, colon), line.substr(colon + separator.size()) };
+    auto nameEnd = line.find(separator);
+    return { line.substr(0, nameEnd), line.substr(nameEnd + separator.size()) };
 }
 
 HeaderFields::Iterator& HeaderFields::Iterator::operator++()
--- a/src/connection/HeaderFields.h
+++ b/src/connection/HeaderFields.h
@@ -1,8 +1,8 @@
 /** \file
  * The header fields of a request, kept as one text.
  *
- * A list of strings takes up to sixty times the bytes of a short field, so a head inside its limit of bytes could take hundreds of kilobytes
- * for as long as its request is in progress.
+ * A list of strings takes up to sixty times the bytes of a short field, so a head inside its limit of bytes could take hundreds of
+ * kilobytes for as long as its request is in progress.
  */
 #pragma once
 
@@ -57,7 +57,7 @@
     {
     }
 
-    /// \param name without a colon. \param value without a line end.
+    /// \param name without a colon, \param value without a line end, as a parser gives them.
     void add(std::string_view name, std::string_view value);
     [[nodiscard]] Iterator begin() const { return Iterator(m_text); }
     [[nodiscard]] static Iterator end() { return {}; }
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -5,9 +5,11 @@
 #include "connection/HttpText.h"
 #include "connection/Timer.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cmath>
 
 namespace wrenhinge {
 
@@ -23,7 +25,7 @@
     constexpr std::size_t requestOverhead = 2048;
     constexpr std::size_t headCopies = 2;
     /// When a caller may come again that was refused for the memory of requests.
-    constexpr auto retryAfterSeconds = "1";
+    constexpr Duration memoryRetryAfter = 1s;
     /// A connection is given this long to send its first request before it is closed for a newer one.
     constexpr Duration firstRequestTime = 500ms;
     /// A request may come in so many pieces of fewer bytes than this, and is then read with pauses.
@@ -45,7 +47,7 @@
     struct GrowingBody {
         using value_type = std::string;
         static std::uint64_t size(const value_type& body) { return body.size(); }
-        class reader {
+        class reader { // NOLINT(readability-identifier-naming): the name that Beast looks for.
         public:
             template <bool isRequest, typename Fields>
             reader(http::header<isRequest, Fields>&, value_type& body)
@@ -114,7 +116,7 @@
         read();
     }
 
-    [[nodiscard]] bool isBusy() const { return m_state == State::Reading || m_state == State::Answering || m_isWriting; }
+    [[nodiscard]] bool isAnswering() const { return m_state == State::Answering || m_isWriting; }
     /// Whether no request is in progress and no bytes wait to be read, so that closing the connection loses no request.
     [[nodiscard]] bool isIdle() { return m_state == State::Idle && !m_isWriting && !m_input.size() && isQuiet(m_socket); }
     /// Since when it has been in its queue.
@@ -131,7 +133,7 @@
         if (m_state != State::Answering)
             return;
         auto text = head(status, headers);
-        bool hasNoBody = status == 204 || status == 304;
+        bool hasNoBody = isWithoutBody(status);
         if (!hasNoBody)
             text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
         text += "\r\n";
@@ -145,8 +147,10 @@
     {
         if (m_state != State::Answering)
             return;
-        m_isChunked = m_version >= 11;
-        m_keepAlive = m_keepAlive && m_isChunked;
+        bool hasLength = headerValue(headers, "Content-Length").has_value();
+        m_hasNoBody = m_isHead || isWithoutBody(status);
+        m_isChunked = m_version >= 11 && !hasLength && !m_hasNoBody;
+        m_keepAlive = m_keepAlive && (m_isChunked || hasLength || m_hasNoBody);
         auto text = head(status, headers);
         if (m_isChunked)
             text += "Transfer-Encoding: chunked\r\n";
@@ -155,7 +159,7 @@
 
     void write(std::string bytes) override
     {
-        if (m_state != State::Answering || bytes.empty() || m_isHead)
+        if (m_state != State::Answering || bytes.empty() || m_hasNoBody)
             return;
         if (m_isChunked) {
             std::array<char, 20> size {};
@@ -170,7 +174,7 @@
     {
         if (m_state != State::Answering)
             return;
-        if (m_isChunked && !m_isHead)
+        if (m_isChunked)
             send("0\r\n\r\n");
         finish();
     }
@@ -180,13 +184,16 @@
         if (m_state != State::Answering)
             return;
         onGone = nullptr;
-        close();
+        if (m_isWriting)
+            closeWhenWritten();
+        else
+            close();
     }
 
     void disconnect() { close(); }
 
     /// Refuses a request that has not come whole.
-    void refuseForMemory() { refuse(503, "too many requests are being received", { { "Retry-After", retryAfterSeconds } }); }
+    void refuseForMemory() { refuse({ ResultCode::Overloaded, "too many requests are being received", memoryRetryAfter }); }
 
     /// Closes the sending side first, so that the caller sees an end of file and not a reset.
     void closeGently()
@@ -253,6 +260,7 @@
         m_hasCheckedHead = false;
         m_sentContinue = false;
         m_isChunked = false;
+        m_hasNoBody = false;
         onGone = nullptr;
         if (!m_isWriting)
             waitForRequest();
@@ -274,8 +282,8 @@
         closeGently();
     }
 
-    void headerTimeEnded() { refuse(408, "the request's header did not come in time"); }
-    void bodyTimeEnded() { refuse(408, "the request's body did not come in time"); }
+    void headerTimeEnded() { refuse({ ResultCode::RequestTimeout, "the request's header did not come in time" }); }
+    void bodyTimeEnded() { refuse({ ResultCode::RequestTimeout, "the request's body did not come in time" }); }
 
     /// Calls `onTimeout` after `limit`, unless the state changes before. Bytes that have arrived by then are read first: otherwise a
     /// process that was suspended would close a connection on which a complete request had arrived in time.
@@ -369,20 +377,20 @@
                 // Not before: an eager parser ignores that the stated length exceeds the limit, and allocates that much.
                 m_parser->eager(true);
                 if (auto fault = framingFault(m_parser->get()))
-                    return refuse(400, *fault);
+                    return refuse({ ResultCode::MalformedRequest, *fault });
                 takeHead();
-                limitTime(m_server.m_limits.idleTime, &Connection::bodyTimeEnded);
+                limitTime(m_server.m_limits.bodyTime.value_or(m_server.m_limits.idleTime), &Connection::bodyTimeEnded);
             }
             if (ec)
                 break;
         }
         if (ec && ec != http::error::need_more)
-            return refuse(statusOf(ec), ec.message());
+            return refuse({ codeOf(ec), ec.message() });
         if (m_parser->is_done())
             return dispatch();
         // What is left for want of more bytes is the start of a head or of a chunk's header.
         if (m_input.size() > std::max(readAheadLimit, m_server.m_limits.headerBytes))
-            return refuse(statusOf(http::error::header_limit), "the header of a chunk exceeds the size limit");
+            return refuse({ ResultCode::HeaderTooLarge, "the header of a chunk exceeds the size limit" });
         if (m_parser->is_header_done() && !std::exchange(m_hasCheckedHead, true) && answerAtHead())
             return;
         if (m_parser->is_header_done() && !m_sentContinue && m_expectsContinue) {
@@ -429,7 +437,7 @@
         // The parser compares the stated length with its limit only as it reads the head.
         if (m_parser->content_length().value_or(0) <= limit)
             return false;
-        refuse(statusOf(http::error::body_limit), "the body exceeds the size limit");
+        refuse({ ResultCode::BodyTooLarge, "the body exceeds the size limit" });
         return true;
     }
 
@@ -455,11 +463,11 @@
         limitTime(m_server.m_limits.headerTime, &Connection::headerTimeEnded);
     }
 
-    static int statusOf(ErrorCode ec)
+    static ResultCode codeOf(ErrorCode ec)
     {
         if (ec == http::error::header_limit)
-            return 431;
-        return ec == http::error::body_limit ? 413 : 400;
+            return ResultCode::HeaderTooLarge;
+        return ec == http::error::body_limit ? ResultCode::BodyTooLarge : ResultCode::MalformedRequest;
     }
 
     void dispatch()
@@ -474,25 +482,32 @@
         request.memory = m_server.m_inProgress.take(requestOverhead + headCopies * headBytesOf(request) + request.body.size());
         if (!request.memory) {
             ++m_server.m_counters.refusedWhenReceived;
-            return reply(503, { { "Content-Type", "text/plain" }, { "Retry-After", retryAfterSeconds } }, "too many requests are in progress\n");
+            return replyError({ ResultCode::Overloaded, "too many requests are in progress", memoryRetryAfter }, request);
         }
         m_server.m_handler(std::move(request), shared_from_this());
     }
 
+    static bool isWithoutBody(int status) { return status == 204 || status == 304; }
+
     static std::size_t headBytesOf(const HttpRequest& request)
     {
         return request.headers.bytes() + request.target.size() + request.host.size();
     }
 
-    /// Refuses a request that can't be parsed, and closes the connection, since the start of the next request is unknown.
-    void refuse(int status, const std::string& why, HeaderList headers = {})
+    void replyError(const Error& error, const HttpRequest& request)
+    {
+        auto out = m_server.m_errorFormat(error, request);
+        reply(out.status, out.headers, std::move(out.body));
+    }
+
+    /// Refuses a request that was not received whole, and closes the connection, since the start of the next request is unknown.
+    void refuse(const Error& error)
     {
         m_state = State::Answering;
         m_version = 11;
         m_isHead = false;
         m_keepAlive = false;
-        headers.emplace_back("Content-Type", "text/plain");
-        reply(status, headers, why + "\n");
+        replyError(error, m_request);
     }
 
     std::string head(int status, const HeaderList& headers)
@@ -603,6 +618,7 @@
         ErrorCode ignored;
         m_socket.close(ignored);
         m_server.m_connections.erase(self);
+        m_server.m_connectionCount = m_server.m_connections.size();
         m_server.m_unsent.set(this, 0);
         m_server.m_receiving.set(this, 0);
         leaveQueue();
@@ -645,6 +661,7 @@
     bool m_isWriting = false;
     bool m_isHead = false;
     bool m_isChunked = false;
+    bool m_hasNoBody = false; ///< The answer ends with its head.
     bool m_keepAlive = true;
     bool m_sentContinue = false;
     bool m_expectsContinue = false;
@@ -652,16 +669,25 @@
     bool m_isOverrun = false; ///< The caller has sent more ahead than is kept.
 };
 
-HttpServer::HttpServer(Strand strand, Handler handler, HeadCheck headCheck)
+HttpServer::HttpServer(Strand strand, Handler handler, HeadCheck headCheck, ErrorFormat errorFormat)
     : m_strand(std::move(strand))
     , m_handler(std::move(handler))
     , m_headCheck(std::move(headCheck))
+    , m_errorFormat(std::move(errorFormat))
     , m_acceptor(m_strand)
 {
 }
 
 HttpServer::~HttpServer() = default;
 
+HttpReply HttpServer::plainError(const Error& error, const HttpRequest&)
+{
+    HttpReply out { httpStatusOf(error.code), { { "Content-Type", "text/plain" } }, error.message + "\n" };
+    if (error.retryAfter)
+        out.headers.emplace_back("Retry-After", std::to_string(static_cast<int>(std::ceil(toSeconds(*error.retryAfter)))));
+    return out;
+}
+
 Result<std::string> HttpServer::listen(const std::string& address)
 {
     auto bound = listenOn(m_acceptor, address);
@@ -692,12 +718,12 @@
         if (!ec && (m_connections.size() < m_limits.connections || makeRoom())) {
             auto connection = std::make_shared<Connection>(*this, std::move(socket));
             m_connections.insert(connection);
+            m_connectionCount = m_connections.size();
             connection->start();
         }
-        if (!ec)
+        if (!ec || makeRoom())
             return accept();
         // The process is probably out of file descriptors, so an immediate retry would fail too.
-        makeRoom();
         auto timer = std::make_shared<boost::asio::steady_timer>(m_strand, acceptAgainAfter);
         timer->async_wait([this, timer](ErrorCode) { accept(); });
     });
@@ -756,12 +782,10 @@
     }
 }
 
-std::size_t HttpServer::requestsInProgress() const
+std::size_t HttpServer::answersInProgress() const
 {
-    std::size_t n = 0;
-    for (const auto& connection : m_connections)
-        n += connection->isBusy() ? 1 : 0;
-    return n;
+    auto isAnswering = [](const auto& connection) { return connection->isAnswering(); };
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), isAnswering));
 }
 
 } // namespace wrenhinge
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -57,11 +57,11 @@
     virtual ~HttpAnswer() = default;
     /// Sends a complete answer.
     virtual void reply(int status, const HeaderList&, std::string body) = 0;
-    /// Starts an answer of unknown length.
+    /// Starts an answer, of unknown length if the headers state none.
     virtual void begin(int status, const HeaderList&) = 0;
     virtual void write(std::string bytes) = 0;
     virtual void end() = 0;
-    /// Closes the connection, so that the caller sees that the answer is incomplete.
+    /// Closes the connection after what was written, so that the caller sees that the answer is incomplete.
     virtual void breakOff() = 0;
     /// Called once if the caller disconnects before the answer is complete.
     std::function<void()> onGone;
@@ -74,6 +74,7 @@
         std::size_t bodyBytes = 8000000;
         Duration headerTime = 10s;
         Duration idleTime = 60s;
+        std::optional<Duration> bodyTime {}; ///< From the head's end to the body's; unset: the idle time.
         std::size_t connections = 3500;
         std::size_t unsentBytes = 64u << 20; ///< That wait for all callers together.
         std::size_t receivingBytes = 32u << 20; ///< Of all requests together that have not been received whole.
@@ -87,6 +88,8 @@
     };
     /// Called for a request whose head has come without all of its body.
     using HeadCheck = std::function<HeadDecision(const HttpRequest&)>;
+    /// Words a refusal of the server's own, all of which mean that the request has not run. \param request as far as it is known.
+    using ErrorFormat = std::function<HttpReply(const Error&, const HttpRequest& request)>;
 
     /// What was refused or closed for the limits. Read on any thread.
     struct Counters {
@@ -98,7 +101,7 @@
         std::atomic<std::uint64_t> sentTooFarAhead = 0;
     };
 
-    HttpServer(Strand, Handler, HeadCheck = nullptr);
+    HttpServer(Strand, Handler, HeadCheck = nullptr, ErrorFormat = plainError);
     ~HttpServer();
 
     /// \returns the bound address.
@@ -108,10 +111,15 @@
     void announceClose() { m_isClosing = true; }
     /// Stops accepting connections, and closes every connection that has no request in progress.
     void closeIdle();
-    [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
-    [[nodiscard]] std::size_t requestsInProgress() const;
+    /// Any thread.
+    [[nodiscard]] std::size_t connections() const { return m_connectionCount; }
+    /// Connections whose answer is not complete, or has not left yet.
+    [[nodiscard]] std::size_t answersInProgress() const;
     [[nodiscard]] const Counters& counters() const { return m_counters; }
 
+    /// A refusal as plain text.
+    static HttpReply plainError(const Error&, const HttpRequest&);
+
 private:
     class Connection;
     using Connections = std::list<Connection*>;
@@ -124,10 +132,12 @@
     Strand m_strand;
     Handler m_handler;
     HeadCheck m_headCheck;
+    ErrorFormat m_errorFormat;
     Limits m_limits;
     Counters m_counters;
     Tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Connection>> m_connections;
+    std::atomic<std::size_t> m_connectionCount = 0; ///< Of m_connections.
     Connections m_unproductive; ///< Those that have sent no request yet, or not the whole of one; oldest first.
     Connections m_idle; ///< Those between two requests; idle for longest first.
     BufferBudget<Connection*> m_unsent { m_limits.unsentBytes };
--- a/src/connection/HttpText.cpp
+++ b/src/connection/HttpText.cpp
@@ -42,8 +42,8 @@
         using is_transparent = void;
         bool operator()(std::string_view a, std::string_view b) const
         {
-            return std::lexicographical_compare(a.begin(), a.end(), b.begin(), b.end(),
-                [](unsigned char x, unsigned char y) { return std::tolower(x) < std::tolower(y); });
+            return std::lexicographical_compare(
+                a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) { return std::tolower(x) < std::tolower(y); });
         }
     };
     /// Sorted: a sender may name thousands.
--- a/src/process/ControlServer.h
+++ b/src/process/ControlServer.h
@@ -10,6 +10,7 @@
 #include "base/SystemClock.h"
 #include "connection/HttpServer.h"
 #include "process/ControllerRole.h"
+#include "process/DescriptorShare.h"
 #include "process/MemoryShares.h"
 #include "process/RegistryLimits.h"
 #include "version/RoutingDocument.h"
@@ -70,10 +71,11 @@
         : m_role(role)
         , m_server(
               role.strand(), [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { handle(request, std::move(answer)); },
-              [](const HttpRequest& head) { return decideAtHead(head); })
+              [this](const HttpRequest& head) { return decideAtHead(head); },
+              [this](const Error& error, const HttpRequest& request) { return noteRefusal(error, request); })
     {
         auto limits = limitsFor(MemoryShares(role.memory()));
-        limits.connections = connectionLimit;
+        limits.connections = connectionsWithinDescriptors(connectionLimit);
         limits.idleTime = std::max(idleTime, idleAnnouncements * role.registrar().registry().times().interval());
         limits.bodyBytes = std::min(bodyLimit, limits.progressBytes);
         m_server.setLimits(limits);
@@ -98,11 +100,11 @@
         boost::asio::steady_timer timer;
     };
 
-    static HttpServer::HeadDecision decideAtHead(const HttpRequest& head)
+    HttpServer::HeadDecision decideAtHead(const HttpRequest& head)
     {
         auto bodyLimit = Dialect::bodyLimitOf(head);
         if (!bodyLimit)
-            return { HttpReply { httpStatusOf(bodyLimit.error().code), jsonHeaders(), Dialect::errorBody(bodyLimit.error()) } };
+            return { noteRefusal(bodyLimit.error(), head) };
         return { std::nullopt, bodyLimit.value() };
     }
 
@@ -148,8 +150,8 @@
     void start(std::shared_ptr<HttpAnswer> answer, std::shared_ptr<const RequestMemory::Share> memory,
         std::function<void(ControllerRole::ReplyCallback)> send, std::function<std::string(const ProposeReply&)> body, Duration timeout)
     {
-        auto pending = std::shared_ptr<PendingCall>(new PendingCall { std::move(answer), std::move(memory), std::move(send), std::move(body),
-            currentInstant() + timeout, false, boost::asio::steady_timer(m_role.strand(), timeout) });
+        auto pending = std::shared_ptr<PendingCall>(new PendingCall { std::move(answer), std::move(memory), std::move(send),
+            std::move(body), currentInstant() + timeout, false, boost::asio::steady_timer(m_role.strand(), timeout) });
         pending->timer.async_wait([this, pending](ErrorCode ec) {
             if (!ec)
                 finish(*pending, unavailable("timed out waiting for a majority of controllers"));
@@ -205,15 +207,25 @@
         return code == ResultCode::UnknownService ? InputSource::OtherCall : InputSource::Announcement;
     }
 
-    void refuse(HttpAnswer& answer, const HttpRequest& request, const Error& error)
+    /// Counts and words a refusal.
+    HttpReply noteRefusal(const Error& error, const HttpRequest& request)
     {
         m_role.refusals().note(sourceOf(error.code), request.method + " " + request.target, error.message);
-        reply(answer, error);
+        return replyOf(error);
+    }
+
+    void refuse(HttpAnswer& answer, const HttpRequest& request, const Error& error)
+    {
+        auto out = noteRefusal(error, request);
+        answer.reply(out.status, out.headers, std::move(out.body));
     }
 
+    static HttpReply replyOf(const Error& error) { return { httpStatusOf(error.code), jsonHeaders(), Dialect::errorBody(error) }; }
+
     static void reply(HttpAnswer& answer, const Error& error)
     {
-        answer.reply(httpStatusOf(error.code), jsonHeaders(), Dialect::errorBody(error));
+        auto out = replyOf(error);
+        answer.reply(out.status, out.headers, std::move(out.body));
     }
 
     static HeaderList jsonHeaders() { return { { "Content-Type", "application/json" } }; }
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -11,6 +11,7 @@
 #include "connection/PeerHub.h"
 #include "process/AccountPages.h"
 #include "process/AdminPages.h"
+#include "process/DescriptorShare.h"
 #include "process/ForwardCalls.h"
 #include "process/ForwardExchanges.h"
 #include "process/ForwardMetrics.h"
@@ -57,12 +58,16 @@
                   [this](PeerId peer, Message&& message) { onMessage(peer, std::move(message)); },
                   [this] { return m_runtime.log().stampSend(); }, [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); },
                   runtime.refusals().linkHandler() })
-        , m_callers(m_strand,
+        , m_callers(
+              m_strand,
               [this](HttpRequest&& request, std::shared_ptr<HttpAnswer> answer) { onRequest(std::move(request), std::move(answer)); },
-              [this](const HttpRequest& head) { return HttpServer::HeadDecision { refusalAtHead(head) }; })
+              [this](const HttpRequest& head) { return HttpServer::HeadDecision { refusalAtHead(head) }; },
+              [](const Error& error, const HttpRequest& request) { return errorReply(error, Dialect::readCaller(request).id); })
         , m_ready(
               m_strand, [this](HttpRequest&&, const std::shared_ptr<HttpAnswer>& answer) { answer->reply(readyStatus(), {}, ""); },
-              [this](const HttpRequest&) { return HttpServer::HeadDecision { HttpReply { readyStatus(), {}, "" } }; })
+              [this](const HttpRequest&) {
+                  return HttpServer::HeadDecision { HttpReply { readyStatus(), {}, "" } };
+              })
         , m_peers(m_hub, settings.sidecarPort)
         , m_calls(m_strand, runtime.refusals(), [this](const forward::Event& event) { post(event); })
         , m_pages(settings, runtime, { [this] { return isReady(); }, [this] { return m_hub.peers(); } })
@@ -70,9 +75,8 @@
               runtime.timers(), [this](document::Effect& effect) { executeDocumentEffect(effect); }, document::Tick {}, randomIdentity())
         , m_driver(
               runtime.timers(), [this](forward::Effect& effect) { collect(std::move(effect)); }, forward::Tick {},
-              ForwardLogic::Settings {
-                  settings.zone, randomIdentity(), settings.retries, settings.name, settings.quotas, settings.announcements,
-                  MemoryShares(settings.memory).bufferedAnswers() })
+              ForwardLogic::Settings { settings.zone, randomIdentity(), settings.retries, settings.name, settings.quotas,
+                  settings.announcements, MemoryShares(settings.memory).bufferedAnswers() })
     {
         m_callers.setLimits(callerLimits(CallerLimits()));
         m_ready.setLimits(readyCheckLimits());
@@ -148,11 +152,16 @@
     [[nodiscard]] std::optional<HttpReply> refusalAtHead(const HttpRequest& head) const
     {
         auto parsed = Dialect::readCaller(head);
-        auto error = m_driver.inspect(
-            [&parsed](const ForwardLogic& logic) { return logic.refusalAtHead(parsed.metadata, currentInstant()); });
+        auto error
+            = m_driver.inspect([&parsed](const ForwardLogic& logic) { return logic.refusalAtHead(parsed.metadata, currentInstant()); });
         if (!error)
             return std::nullopt;
-        return HttpReply { httpStatusOf(error->code), Dialect::errorHeaders(*error, parsed.id), Dialect::errorBody(*error) };
+        return errorReply(*error, parsed.id);
+    }
+
+    static HttpReply errorReply(const Error& error, const std::string& callerId)
+    {
+        return { httpStatusOf(error.code), Dialect::errorHeaders(error, callerId), Dialect::errorBody(error) };
     }
 
     void onMessage(PeerId peer, Message&& message)
@@ -265,7 +274,7 @@
         out.bodyBytes = limits.bodyBytes;
         out.headerTime = limits.headerTime;
         out.idleTime = limits.idleTime;
-        out.connections = m_settings.callers.connectionLimit;
+        out.connections = connectionsWithinDescriptors(m_settings.callers.connectionLimit);
         return out;
     }
 
--- a/src/process/GatewayRole.cpp
+++ b/src/process/GatewayRole.cpp
@@ -1,5 +1,9 @@
 #include "process/GatewayRole.h"
 
+#include "process/DescriptorShare.h"
+#include "process/ForwardMetrics.h"
+#include "process/MemoryShares.h"
+
 namespace wrenhinge {
 
 namespace {
@@ -23,6 +27,14 @@
             { "uncovered", upstream.uncovered.size() }, { "load", toJson(upstream.load) } };
     }
 
+    /// The limits of a gateway's server that follow from the process's own.
+    HttpServer::Limits callerLimits(const Settings& settings)
+    {
+        auto limits = limitsFor(MemoryShares(settings.memory));
+        limits.connections = connectionsWithinDescriptors(settings.callers.connectionLimit);
+        return limits;
+    }
+
 } // namespace
 
 GatewayRole::GatewayRole(const Settings& settings, Runtime& runtime)
@@ -42,7 +54,7 @@
               },
               [this] { return m_runtime.log().stampSend(); }, [this](HybridTime stamp) { m_runtime.log().stampReceive(stamp); },
               runtime.refusals().linkHandler() })
-    , m_callers(runtime.io(), settings.callers, runtime.self(),
+    , m_callers(runtime.io(), settings.callers, callerLimits(settings), runtime.self(),
           { [this](const RequestId& id, CallerRequest caller) {
                m_driver.post(gateway::Submit { id, std::move(caller) });
            },
@@ -139,6 +151,7 @@
         m_metrics.setGauge(
             "wrenhinge_in_progress", static_cast<double>(m_driver.inspect([](const GatewayLogic& l) { return l.inProgress(); })));
         m_metrics.setGauge("wrenhinge_caller_connections", static_cast<double>(m_callers.connections()));
+        setGauges(m_metrics, m_callers.counters());
         return { 200, "text/plain; version=0.0.4", m_metrics.text() + m_runtime.refusals().metrics() };
     }
     return AdminPages::notFound(request.path);
--- a/test/correctness/PauseTest.cpp
+++ b/test/correctness/PauseTest.cpp
@@ -67,8 +67,8 @@
         early = std::exchange(head, {});
     }
     std::vector<RequestId> submitted;
-    CallerServer server(
-        io, settings, PeerId(1), { [&](const RequestId& id, const CallerRequest&) { submitted.push_back(id); }, [](const RequestId&) {} });
+    CallerServer server(io, settings, {}, PeerId(1),
+        { [&](const RequestId& id, const CallerRequest&) { submitted.push_back(id); }, [](const RequestId&) {} });
     auto address = server.start().value();
     IoContext clientIo;
     Tcp::socket client(clientIo);
--- a/test/fuzz/FuzzTest.cpp
+++ b/test/fuzz/FuzzTest.cpp
@@ -168,12 +168,14 @@
 {
     // Lines "name: value".
     HttpRequest request { "POST", "/a/b?c", "desk.example", {}, "body", {} };
+    HeaderList headers;
     for (std::size_t at = 0; at < input.size();) {
         auto end = std::min(input.find('\n', at), input.size());
         auto colon = std::min(input.find(": ", at), end);
-        request.headers.emplace_back(input.substr(at, colon - at), colon < end ? input.substr(colon + 2, end - colon - 2) : "");
+        headers.emplace_back(input.substr(at, colon - at), colon < end ? input.substr(colon + 2, end - colon - 2) : "");
         at = end + 1;
     }
+    request.headers = HeaderFields(headers);
     auto words = Dialect::readCaller(request);
     if (words.metadata.callerTimeout)
         requireSpan(*words.metadata.callerTimeout);
@@ -183,7 +185,7 @@
     send.resumeAfter = words.metadata.resumeAfter;
     auto out = Dialect::upstreamRequest(request, send);
     require(out.bytes.find(": i-1\r\n") != std::string::npos, "the replica that is meant is named");
-    (void)Dialect::readAnswer({ 200, request.headers }, words.id);
+    (void)Dialect::readAnswer({ 200, headers }, words.id);
     return words.metadata.callerTimeout.has_value();
 }
 
