--- a/test/correctness/BufferBudgetTest.cpp
+++ b/test/correctness/BufferBudgetTest.cpp
@@ -1,9 +1,11 @@
 /** \file
- * Tests of BufferBudget, and of what a gateway does when the answers in progress exceed theirs.
+ * Tests of BufferBudget, RequestMemory and the share of descriptors, and of what a gateway does when the answers in progress exceed theirs.
  */
 #include "base/BufferBudget.h"
+#include "base/RequestMemory.h"
 
 #include "ForwardBench.h"
+#include "process/DescriptorShare.h"
 
 using namespace wrenhinge;
 using namespace wrenhinge::forward;
@@ -26,6 +28,33 @@
 
 } // namespace
 
+TEST_CASE("requests in progress are admitted while they take at most half of what is free, and give back what they took")
+{
+    // Guards against a few large requests that leave no room for all the small ones.
+    RequestMemory memory(1000);
+    auto large = memory.take(900);
+    CHECK(large);
+    CHECK(!memory.take(51));
+    auto small = memory.take(50);
+    CHECK(small);
+    CHECK(memory.used() == 950);
+    large.reset();
+    CHECK(!memory.take(476));
+    CHECK(memory.take(475));
+    small.reset();
+    CHECK(memory.used() == 0);
+    CHECK(memory.take(5000)); // Alone.
+}
+
+TEST_CASE("callers never take all descriptors of a process")
+{
+    // Guards against a process that has read requests and can't call a replica for them.
+    rlimit limit {};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    CHECK(connectionsWithinDescriptors(2) == 2);
+    CHECK((limit.rlim_cur == RLIM_INFINITY || connectionsWithinDescriptors(limit.rlim_cur) < limit.rlim_cur));
+}
+
 TEST_CASE("the holder with the most bytes is given up, and only while all together exceed the limit")
 {
     BufferBudget<int> budget(100);
--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -336,11 +336,15 @@
     {
         while (io.poll()) { }
     }
+    template <typename F> void runUntil(F isReached)
+    {
+        while (!isReached())
+            io.run_one();
+    }
     /// Runs until so many requests have come.
     void awaitRequests(std::size_t n)
     {
-        while (requests.size() < n)
-            io.run_one();
+        runUntil([&] { return requests.size() >= n; });
     }
     /// Calls `f` as soon as the loop runs again, before any limit that was set later and has ended too.
     void callFirst(std::function<void()> f)
@@ -735,6 +739,137 @@
     CHECK(clients[1]->readTo("0\r\n\r\n").ends_with("5\r\nsmall\r\n0\r\n\r\n"));
 }
 
+TEST_CASE("of requests that have not come whole, the largest is refused as not run once they are too many together")
+{
+    // Guards against a process that keeps as much as all callers together send.
+    HttpServer::Limits limits;
+    limits.bodyBytes = 100000;
+    limits.receivingBytes = 200000;
+    HandRunServer server(limits);
+    std::vector<std::unique_ptr<Client>> clients;
+    auto sendPart = [&](std::size_t bytes) {
+        clients.push_back(std::make_unique<Client>(server.address));
+        clients.back()->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + std::string(bytes, 'x'));
+        server.run();
+    };
+    for (std::size_t bytes : { 50000u, 90000u, 40000u, 30000u })
+        sendPart(bytes);
+    auto refusal = clients[1]->readTo("\r\n\r\n");
+    CHECK(refusal.starts_with("HTTP/1.1 503"));
+    CHECK(refusal.find("Retry-After: 1\r\n") != std::string::npos);
+    clients[0]->send(std::string(50000, 'x'));
+    server.awaitRequests(1);
+    CHECK(server.requests[0].body.size() == 100000);
+}
+
+TEST_CASE("a request that takes more than half of what is free for those in progress is refused as not run")
+{
+    // Guards against a few large requests that leave no room for all the small ones.
+    HttpServer::Limits limits;
+    limits.progressBytes = 100000;
+    HandRunServer server(limits);
+    std::vector<std::unique_ptr<Client>> clients;
+    auto post = [&](std::size_t bytes) {
+        clients.push_back(std::make_unique<Client>(server.address));
+        clients.back()->send(
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x'));
+    };
+    post(90000); // Alone it is always admitted.
+    server.awaitRequests(1);
+    post(5000);
+    server.run();
+    CHECK(clients[1]->readTo("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    post(100);
+    server.awaitRequests(2);
+    server.answers[0]->reply(200, {}, "");
+    server.requests[0] = {};
+    post(5000);
+    server.awaitRequests(3);
+    CHECK(server.requests[2].body.size() == 5000);
+}
+
+TEST_CASE("a caller that sends far ahead gets the answer in progress, which says that its connection ends")
+{
+    // Guards against keeping, and answering, whatever is sent ahead.
+    HandRunServer server({});
+    Client client(server.address);
+    client.send(get("/"));
+    server.awaitRequests(1);
+    client.send(get("/" + std::string(15000, 'a')) + get("/" + std::string(15000, 'b')));
+    server.run();
+    server.answers[0]->reply(200, {}, "first");
+    server.run();
+    auto text = client.readTo("first");
+    CHECK(text.find("Connection: close\r\n") != std::string::npos);
+    CHECK(server.requests.size() == 1);
+}
+
+TEST_CASE("requests sent ahead by less are all answered, the next once the answer before has left")
+{
+    HandRunServer server({});
+    Client client(server.address);
+    client.send(get("/a") + get("/b"));
+    server.awaitRequests(1);
+    CHECK(server.requests.size() == 1);
+    server.answers[0]->reply(200, {}, "first");
+    server.awaitRequests(2);
+    server.answers[1]->reply(200, {}, "second");
+    server.run();
+    CHECK(client.readTo("second").find("first") != std::string::npos);
+}
+
+TEST_CASE("a caller that takes nothing of its answer for the idle time is disconnected")
+{
+    // Guards against a connection, and an answer, that stay for as long as their caller likes.
+    HttpServer::Limits limits;
+    limits.idleTime = 30ms;
+    HandRunServer server(limits);
+    Client client(server.address);
+    client.send(get("/"));
+    server.awaitRequests(1);
+    bool hasGone = false;
+    server.answers[0]->onGone = [&] { hasGone = true; };
+    server.answers[0]->begin(200, {});
+    constexpr std::size_t manyBytes = 18u << 20; // More than the buffers of both sides take.
+    server.answers[0]->write(std::string(manyBytes, 'x'));
+    server.runUntil([&] { return hasGone; });
+}
+
+TEST_CASE("a new connection takes the place of one that has sent no request, else of the one that is idle for longest")
+{
+    // Guards against callers that find all places taken by those who ask for nothing.
+    HttpServer::Limits limits;
+    limits.connections = 3;
+    HandRunServer server(limits);
+    Client busy(server.address);
+    busy.send(get("/busy"));
+    server.awaitRequests(1);
+    Client idle(server.address);
+    idle.send(get("/idle"));
+    server.awaitRequests(2);
+    server.answers[1]->reply(200, {}, "idle");
+    server.run();
+    Client silent(server.address);
+    server.run();
+    std::this_thread::sleep_for(600ms); // Longer than a first request may take.
+    Client first(server.address);
+    first.send(get("/first"));
+    server.awaitRequests(3);
+    CHECK(silent.readAll().empty());
+    Client second(server.address);
+    second.send(get("/second"));
+    server.awaitRequests(4);
+    idle.readTo("idle");
+    CHECK(idle.readAll().ends_with("idle"));
+    // All places have a request in progress now.
+    Client third(server.address);
+    server.run();
+    CHECK(third.readAll().empty());
+    server.answers[0]->reply(200, {}, "served");
+    server.run();
+    CHECK(busy.readTo("served").starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("bytes without end fail their call, wherever they stand")
 {
     // Guards against a call that keeps a connection, memory or the processor for as long as a faulty replica sends.
--- a/test/error/SettingsErrorTest.cpp
+++ b/test/error/SettingsErrorTest.cpp
@@ -91,6 +91,8 @@
         { gateway + "  idle-time: 60\n", "callers.idle-time" },
         { gateway + "  header-time: 0ms\n", "callers.header-time" },
         { gateway + "  connection-limit: 0\n", "callers.connection-limit" },
+        { gateway + "memory: 1MB\n", "memory: '1MB' is too little" },
+        { gateway + "memory: 88\n", "memory" },
         { replaced(gateway, "callers:\n  listen: 127.0.0.1:0\n", ""), "callers.listen: is missing" },
         { replaced(gateway, "callers:\n  listen: 127.0.0.1:0\n", "callers: x\n"), "callers: write a map" },
         { replaced(sidecar, "kind: decode", "kind: both"), "f:9: upstream.kind" },
