An exchange that ends while its answer is written is not used any more; last answers are not closed for room

By reading: a write may close the connection with the most unread bytes, and so end the exchange whose answer is being written. A connection that sends its last answer counted as one without a request, and could be closed for a newer one with the answer half sent.

--- a/src/connection/CallerServer.cpp
+++ b/src/connection/CallerServer.cpp
@@ -125,23 +125,27 @@
 template <typename F> void CallerServer::withAnswer(const RequestId& id, F f)
 {
     boost::asio::post(m_strand, [this, id, f = std::move(f)]() mutable {
-        if (auto it = m_exchanges.find(id); it != m_exchanges.end())
-            f(it->second);
+        auto it = m_exchanges.find(id);
+        if (it == m_exchanges.end())
+            return;
+        // Writing may close the connection, and that ends the exchange.
+        auto exchange = it->second;
+        f(exchange);
     });
 }
 
 void CallerServer::head(const RequestId& id, int status, HeaderList headers)
 {
     headers.emplace_back("X-Request-Id", toString(id));
-    withAnswer(id, [status, headers = std::move(headers)](Exchange& exchange) {
-        exchange.isStream = !headerValue(headers, "Content-Length");
+    withAnswer(id, [this, id, status, headers = std::move(headers)](const Exchange& exchange) {
+        m_exchanges.at(id).isStream = !headerValue(headers, "Content-Length");
         exchange.answer->begin(status, headers);
     });
 }
 
 void CallerServer::data(const RequestId& id, std::string bytes)
 {
-    withAnswer(id, [bytes = std::move(bytes)](Exchange& exchange) mutable { exchange.answer->write(std::move(bytes)); });
+    withAnswer(id, [bytes = std::move(bytes)](const Exchange& exchange) mutable { exchange.answer->write(std::move(bytes)); });
 }
 
 void CallerServer::finish(const RequestId& id) { m_exchanges.erase(id); }
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -545,7 +545,7 @@
         m_state = State::Ending;
         m_timer.cancel();
         releaseInput();
-        queueIn(m_server.m_unproductive);
+        leaveQueue();
         if (!m_isWriting)
             closeGently();
     }
