--- a/test/failure/MisbehavingCallerTest.cpp
+++ b/test/failure/MisbehavingCallerTest.cpp
@@ -15,11 +15,7 @@
 
 namespace {
 
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool isMemoryMeasured = false; // A sanitizer keeps freed memory.
-#else
-constexpr bool isMemoryMeasured = true;
-#endif
+[[maybe_unused]] const bool hasDescriptors = raiseDescriptorLimit();
 /// What the settings name by default.
 constexpr std::size_t gatewayMemory = 160'000'000;
 /// The limits of callers by default.
--- a/test/support/MemoryWatch.h
+++ b/test/support/MemoryWatch.h
@@ -18,6 +18,12 @@
 
 namespace wrenhinge::test {
 
+#ifdef __SANITIZE_ADDRESS__
+inline constexpr bool isMemoryMeasured = false; // A sanitizer keeps freed memory.
+#else
+inline constexpr bool isMemoryMeasured = true;
+#endif
+
 class MemoryWatch {
 public:
     /// \param ports the process listens on these; what has arrived on their connections and is not read yet counts as its memory.
--- a/test/support/RawClient.h
+++ b/test/support/RawClient.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 
@@ -17,6 +18,17 @@
     return static_cast<std::uint16_t>(std::stoul(address.substr(address.find(':') + 1)));
 }
 
+/// Lets this process, and those that it starts, have as many descriptors as the system allows: crowds need thousands.
+/// \returns true, so that a constant of a test can be initialised by it before anything starts.
+inline bool raiseDescriptorLimit()
+{
+    rlimit limit {};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    return true;
+}
+
 /// A client's connection. Its writes and reads end without an error where the other side has closed.
 class RawClient {
 public:
