What the log keeps of a request is bounded in bytes, not only in events

Callers saw: a gateway of 88 MB is over its memory, and ended, after some 1,500 requests with ids of 15 KB, each legal in size.

Cause: the time line keeps 50,000 events, and each names its caller's id.

Now the time line has 8 MiB at most, a text 1,000 bytes, and an id 64 in a log line. The head of a request in progress counts six times: its id also stands with its state and with each handler of its call.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -21,9 +21,10 @@
     constexpr std::size_t readAheadLimit = 16 * 1024;
     /// An input buffer that has grown beyond this is released between requests.
     constexpr std::size_t keptInputBytes = 4096;
-    /// Memory of a request in progress besides its bytes; they stand twice, here and in the call to a replica.
+    /// Memory of a request in progress besides its bytes. A head stands here and in the call to a replica, and its id, which may be most of
+    /// it, with the request's state and each handler of the call.
     constexpr std::size_t requestOverhead = 2048;
-    constexpr std::size_t headCopies = 2;
+    constexpr std::size_t headCopies = 6;
     /// When a caller may come again that was refused for the memory of requests.
     constexpr Duration memoryRetryAfter = 1s;
     /// A connection is given this long to send its first request before it is closed for a newer one.
--- a/src/process/EventLog.cpp
+++ b/src/process/EventLog.cpp
@@ -71,6 +71,8 @@
         std::atomic<std::uint64_t>& m_droppedLines;
     };
 
+    std::size_t bytesOf(const TimelineEvent& event) { return sizeof event + event.request.size() + event.text.size(); }
+
     /// Formats a text as a quoted logfmt value: escapes quotes and backslashes, and replaces line breaks by spaces.
     std::string quoted(const std::string& text)
     {
@@ -124,13 +126,7 @@
 
 void EventLog::write(const LogEvent& event)
 {
-    auto request = event.request.sequence ? toString(event.request) : std::string();
-    {
-        std::lock_guard lock(m_mutex);
-        m_events.push_back({ m_clock.tick(currentWallMicros()), event.code, request, event.text });
-        if (m_events.size() > maxEvents)
-            m_events.pop_front();
-    }
+    keep(event);
     auto level = levelOf(event.code);
     if (!logger().isEnabledFor(level))
         return;
@@ -142,6 +138,18 @@
     writeLine(level, event);
 }
 
+void EventLog::keep(const LogEvent& event)
+{
+    auto request = event.request.sequence ? toString(event.request) : std::string();
+    std::lock_guard lock(m_mutex);
+    m_events.push_back({ m_clock.tick(currentWallMicros()), event.code, std::move(request), event.text.substr(0, maxTextBytes) });
+    m_eventBytes += bytesOf(m_events.back());
+    while (m_events.size() > maxEvents || m_eventBytes > maxEventBytes) {
+        m_eventBytes -= bytesOf(m_events.front());
+        m_events.pop_front();
+    }
+}
+
 void EventLog::writeLine(int level, const LogEvent& event)
 {
     auto line
@@ -149,7 +157,7 @@
     if (event.request.sequence)
         line += " request=" + toString(event.request);
     if (!event.text.empty())
-        line += " text=" + quoted(event.text);
+        line += " text=" + quoted(event.text.substr(0, maxTextBytes));
     logger().forcedLog(level, line);
 }
 
--- a/src/process/EventLog.h
+++ b/src/process/EventLog.h
@@ -35,6 +35,10 @@
 class EventLog {
 public:
     static constexpr std::size_t maxEvents = 50000;
+    /// Of all events in memory together; usual ones have some 300 bytes.
+    static constexpr std::size_t maxEventBytes = 8u << 20;
+    /// A longer text is cut: it may quote what a caller chose.
+    static constexpr std::size_t maxTextBytes = 1000;
     /// Token bucket of each event code: its depth in lines, and the lines per second that refill it. The busiest gateway so far wrote
     /// 60 lines of one event per second.
     static constexpr double burstLines = 1000;
@@ -68,6 +72,7 @@
     bool isWithinRate(EventCode);
     void reportDroppedLines();
     void writeLine(int level, const LogEvent&);
+    void keep(const LogEvent&);
 
     std::string m_process;
     int m_file = -1; ///< Descriptor of the log file, or -1 if the log is not written to a file.
@@ -77,6 +82,7 @@
     mutable std::mutex m_mutex; ///< Guards the members below; no other lock is taken while it is held.
     HybridClock m_clock;
     std::deque<TimelineEvent> m_events;
+    std::size_t m_eventBytes = 0; ///< Of m_events.
     std::map<EventCode, TokenBucket> m_buckets;
 };
 
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -38,6 +38,9 @@
     /// Connections to the readiness check, which load balancers ask about once a second each.
     static constexpr std::size_t readyCheckConnections = 64;
 
+    /// In bytes; callers choose their ids.
+    static constexpr std::size_t longestLoggedId = 64;
+
     ForwardRole(const Settings& settings, Runtime& runtime)
         : m_settings(settings)
         , m_runtime(runtime)
@@ -262,7 +265,7 @@
     void execute(LogEvent& event)
     {
         if (auto* exchange = m_exchanges.find(event.request))
-            event.text += " (" + exchange->callerId + ")";
+            event.text += " (" + exchange->callerId.substr(0, longestLoggedId) + ")";
         m_runtime.log().write(event);
     }
 
--- a/test/correctness/LogTest.cpp
+++ b/test/correctness/LogTest.cpp
@@ -109,6 +109,24 @@
     CHECK(told == leftOut);
 }
 
+TEST_CASE("what the time line keeps is bounded in bytes, and so is each text")
+{
+    // Guards against a process that is over its memory with names that callers choose.
+    Folder folder;
+    EventLog log(toFile(folder.path() + "/log"), "p");
+    constexpr std::size_t longText = 15000;
+    constexpr int events = 20000;
+    for (int i = 0; i < events; ++i)
+        log.write({ EventCode::RequestReceived, {}, std::to_string(i) + std::string(longText, 'x') });
+    std::size_t bytes = 0;
+    auto kept = log.events("");
+    for (const auto& event : kept)
+        bytes += event.text.size();
+    CHECK(bytes <= EventLog::maxEventBytes);
+    CHECK(kept.back().text.starts_with(std::to_string(events - 1)));
+    CHECK(kept.back().text.size() == EventLog::maxTextBytes);
+}
+
 TEST_CASE("a text stays one value on one line, whatever it holds")
 {
     Folder folder;
