--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -722,9 +722,9 @@
             m_connectionCount = m_connections.size();
             connection->start();
         }
-        if (!ec || makeRoom())
+        if (!ec || (ec == boost::asio::error::no_descriptors && makeRoom()))
             return accept();
-        // The process is probably out of file descriptors, so an immediate retry would fail too.
+        // An immediate retry would probably fail too.
         auto timer = std::make_shared<boost::asio::steady_timer>(m_strand, acceptAgainAfter);
         timer->async_wait([this, timer](ErrorCode) { accept(); });
     });
