Tests of misbehaving clients ask ordinarily once all clients have sent, too

The ordinary calls of a scene were counted from its start, so most of them could have been made before a crowd was complete; a crowd of 5,000 stood beside one call at the least.

--- a/test/failure/MisbehavingCallerTest.cpp
+++ b/test/failure/MisbehavingCallerTest.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t headerLimit = 16384;
 constexpr std::size_t bodyLimit = 8'000'000;
 constexpr std::size_t connectionLimit = 3000;
+/// Ordinary calls once all clients of a kind have sent what they send; besides those meanwhile.
 constexpr int soundCalls = 20;
 constexpr auto soundPause = 20ms;
 
@@ -52,7 +53,8 @@
         }
         int asked = 0;
         int served = 0;
-        while ((asked < soundCalls || unfinished) && !hasFailed()) {
+        for (int askedSince = 0; askedSince < soundCalls && !hasFailed();) {
+            askedSince += unfinished ? 0 : 1;
             ++asked;
             served += HttpClient(address()).call("POST", "/services/saatja/x", "b").status == 200 ? 1 : 0;
             std::this_thread::sleep_for(soundPause);
