A call of a sidecar that is given up at once does not begin after its end

Callers saw nothing; a caller that had left could leave its call running at an engine or a plain service, with its slot taken until the call's own end.

Cause: the start and the abort of a call were posted to the pool of threads and not to the call's strand, so the abort could come first, or both at the same moment.

--- a/src/connection/UpstreamClient.cpp
+++ b/src/connection/UpstreamClient.cpp
@@ -47,8 +47,27 @@
         m_parser.body_limit(m_call.kind == UpstreamKind::Prefill ? prefillAnswerLimit : answerLimit);
     }
 
+    /// Posted, since the caller holds the lock of the logic that the report acquires. Any thread, as `abort`; their order is kept:
+    /// otherwise a call that is given up at once could begin after its end.
+    void start(const Tcp::endpoint& endpoint)
+    {
+        boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), endpoint] { self->run(endpoint); });
+    }
+
+    void abort()
+    {
+        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+            self->m_done = true;
+            ErrorCode ignored;
+            self->m_socket.close(ignored);
+        });
+    }
+
+private:
     void run(const Tcp::endpoint& endpoint)
     {
+        if (m_done)
+            return;
         if (auto built = buildRequest(); !built)
             return fail(false, ResultCode::MalformedRequest);
         m_socket.async_connect(endpoint, [self = shared_from_this()](ErrorCode ec) {
@@ -60,16 +79,6 @@
         });
     }
 
-    void abort()
-    {
-        boost::asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] {
-            self->m_done = true;
-            ErrorCode ignored;
-            self->m_socket.close(ignored);
-        });
-    }
-
-private:
     Result<void> buildRequest()
     {
         auto body = Result<std::string>(std::move(m_call.body));
@@ -238,8 +247,7 @@
         std::erase_if(m_exchanges, [](const auto& item) { return item.second.expired(); });
         m_exchanges[id] = exchange;
     }
-    // Posted, since the caller holds the lock of the logic that the report acquires.
-    boost::asio::post(m_io, [exchange, endpoint = m_endpoint] { exchange->run(endpoint); });
+    exchange->start(m_endpoint);
 }
 
 void UpstreamClient::abort(CallId id)
@@ -252,7 +260,7 @@
         m_exchanges.erase(id);
     }
     if (exchange)
-        boost::asio::post(m_io, [exchange] { exchange->abort(); });
+        exchange->abort();
 }
 
 void UpstreamClient::releaseResult(const std::string& kvParams)
@@ -264,7 +272,7 @@
     call.headers = { { "Content-Type", "application/json" } };
     call.body = kvParams;
     auto exchange = std::make_shared<Exchange>(m_io, std::move(call), [](sidecar::Event) {});
-    boost::asio::post(m_io, [exchange, endpoint = m_endpoint] { exchange->run(endpoint); });
+    exchange->start(m_endpoint);
 }
 
 } // namespace wrenhinge
--- a/test/support/RawClient.h
+++ b/test/support/RawClient.h
@@ -5,6 +5,7 @@
 
 #include "connection/Asio.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <sys/resource.h>
@@ -29,12 +30,33 @@
     return true;
 }
 
+/// Lets processes that are started in its scope have so many descriptors, unless this process has fewer.
+class DescriptorLimit {
+public:
+    explicit DescriptorLimit(rlim_t most)
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_former);
+        rlimit limit { std::min(most, m_former.rlim_cur), m_former.rlim_max };
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    ~DescriptorLimit() { ::setrlimit(RLIMIT_NOFILE, &m_former); }
+    DescriptorLimit(const DescriptorLimit&) = delete;
+    DescriptorLimit& operator=(const DescriptorLimit&) = delete;
+
+private:
+    rlimit m_former {};
+};
+
 /// A client's connection. Its writes and reads end without an error where the other side has closed.
 class RawClient {
 public:
-    explicit RawClient(const std::string& address)
+    /// \param receiveBuffer what its system takes for it without being read, in bytes; zero: as much as it likes.
+    explicit RawClient(const std::string& address, int receiveBuffer = 0)
     {
         ErrorCode ignored;
+        m_socket.open(Tcp::v4(), ignored);
+        if (receiveBuffer)
+            m_socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer), ignored);
         m_socket.connect({ boost::asio::ip::make_address(address.substr(0, address.find(':'))), portOf(address) }, ignored);
         timeval patience { 10, 0 };
         ::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof patience);
@@ -55,6 +77,12 @@
     {
         (void)::send(m_socket.native_handle(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     }
+    /// Reads at most so many bytes of those that have come.
+    void readSome(std::size_t most)
+    {
+        std::string part(most, ' ');
+        (void)::recv(m_socket.native_handle(), part.data(), most, MSG_DONTWAIT);
+    }
     /// \returns the status of the next answer; zero if there is none.
     int readStatus()
     {
