Bytes that have arrived and are not read yet are bounded for all connections together

Callers saw: a gateway is over its memory, and ended with all its requests, when 2,000 clients send a megabyte of a body each at once: 212 MB, of 88, most of it in the kernel, which counts as the process's memory.

Cause: the receive buffer was bounded for each connection (64 KB, which the kernel doubles), and connections are thousands. That the process reads without pause is no bound: it reads slower than so many send.

Why it holds: an eighth of the memory is shared out over all connections, at least 4 KB each, so the sum is bounded whatever the process does. Through 4 KB a body of 4 MiB would take a thousand round trips, so the few bodies that come at the time have 64 KB; one that pauses makes room.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cmath>
+#include <netinet/tcp.h>
 
 namespace wrenhinge {
 
@@ -33,8 +34,11 @@
     constexpr int freeSmallReads = 16;
     constexpr std::size_t smallReadBytes = 512;
     constexpr Duration smallReadPause = 20ms;
-    /// What the kernel keeps of a connection that is not read yet.
-    constexpr int receiveBufferBytes = 64 * 1024;
+    /// What the kernel may keep of a connection that is not read yet: the least with which requests come in few pieces, and the most.
+    constexpr int smallestReceiveBuffer = 4 * 1024;
+    constexpr int largestReceiveBuffer = 64 * 1024;
+    /// A large body that has not come for this long makes room for another one.
+    constexpr Duration largeBodyTime = 500ms;
     /// Looks at so many connections for one to close.
     constexpr int roomAttempts = 8;
     /// How long a connection is still read after its sending side was closed. Closing it with unread bytes would reset it, and the
@@ -193,6 +197,19 @@
 
     void disconnect() { close(); }
 
+    /// \returns how long nothing has come of its large body.
+    [[nodiscard]] Duration bodyPause() const { return currentInstant() - m_lastReadAt; }
+    /// Gives the large receive buffer back. Not while its body comes: a sender that has seen a large window waits for long before it
+    /// uses a small one.
+    void endLargeBody()
+    {
+        if (!m_hasLargeBuffer)
+            return;
+        m_hasLargeBuffer = false;
+        m_server.m_largeBodies.erase(m_inLargeBodies);
+        setReceiveBuffer(m_server.receiveBuffer());
+    }
+
     /// Refuses a request that has not come whole.
     void refuseForMemory() { refuse({ ResultCode::Overloaded, "too many requests are being received", memoryRetryAfter }); }
 
@@ -244,6 +261,33 @@
             queue->erase(m_inQueue);
     }
 
+    /// Lets a body come in large pieces, if few others do: through a small buffer it takes a round trip for each.
+    void beginLargeBody()
+    {
+        auto stated = m_parser->content_length_remaining();
+        if (m_hasLargeBuffer || (stated && *stated <= static_cast<std::uint64_t>(m_server.receiveBuffer()))
+            || !m_server.makeRoomForLargeBody())
+            return;
+        m_hasLargeBuffer = true;
+        m_inLargeBodies = m_server.m_largeBodies.insert(m_server.m_largeBodies.end(), this);
+        setReceiveBuffer(largestReceiveBuffer);
+    }
+
+    void noteRead()
+    {
+        m_lastReadAt = currentInstant();
+        if (m_hasLargeBuffer)
+            m_server.m_largeBodies.splice(m_server.m_largeBodies.end(), m_server.m_largeBodies, m_inLargeBodies);
+    }
+
+    void setReceiveBuffer(int bytes)
+    {
+        ErrorCode ignored;
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size(bytes), ignored);
+        // Otherwise the limit of when the connection was made stays.
+        ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_WINDOW_CLAMP, &bytes, sizeof bytes);
+    }
+
     void releaseInput()
     {
         m_input = {};
@@ -323,6 +367,7 @@
             return;
         if (ec)
             return close();
+        noteRead();
         if (m_state == State::Lingering || m_state == State::Ending || m_isOverrun)
             discard(n);
         else
@@ -398,6 +443,8 @@
             m_sentContinue = true;
             send("HTTP/1.1 100 Continue\r\n\r\n");
         }
+        if (m_parser->is_header_done())
+            beginLargeBody();
         noteReceived();
     }
 
@@ -476,6 +523,7 @@
         m_state = State::Answering;
         m_timer.cancel();
         leaveQueue();
+        endLargeBody();
         m_server.m_receiving.set(this, 0);
         auto request = std::exchange(m_request, {});
         request.body = std::move(m_parser->get().body());
@@ -616,6 +664,7 @@
         auto self = shared_from_this();
         m_timer.cancel();
         m_writeTimer.cancel();
+        endLargeBody();
         ErrorCode ignored;
         m_socket.close(ignored);
         m_server.m_connections.erase(self);
@@ -652,8 +701,10 @@
     std::optional<Timer> m_pause; ///< Set while it isn't read.
     Connections* m_queue = nullptr; ///< The list of the server that it is in.
     Connections::iterator m_inQueue;
+    Connections::iterator m_inLargeBodies;
     Instant m_queuedSince;
     Instant m_startedAt;
+    Instant m_lastReadAt;
     Instant m_idleSince;
     Instant m_lingersUntil;
     State m_state = State::Idle;
@@ -667,6 +718,7 @@
     bool m_sentContinue = false;
     bool m_expectsContinue = false;
     bool m_hasCheckedHead = false;
+    bool m_hasLargeBuffer = false;
     bool m_isOverrun = false; ///< The caller has sent more ahead than is kept.
 };
 
@@ -696,11 +748,31 @@
         return bound;
     // Connections inherit it.
     ErrorCode ignored;
-    m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+    m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer()), ignored);
     accept();
     return bound;
 }
 
+/// Of a connection without a large body. All together hold at most the limit of bytes that are not read, and large bodies a quarter more.
+int HttpServer::receiveBuffer() const
+{
+    auto part = m_limits.unreadBytes / std::max<std::size_t>(m_limits.connections, 1);
+    return static_cast<int>(std::clamp<std::size_t>(part, smallestReceiveBuffer, largestReceiveBuffer));
+}
+
+/// \returns whether one more connection may have a large receive buffer. Takes one from a connection that doesn't use it.
+bool HttpServer::makeRoomForLargeBody()
+{
+    auto most = std::max<std::size_t>(1, m_limits.unreadBytes / 4 / largestReceiveBuffer);
+    if (m_largeBodies.size() < most)
+        return true;
+    auto* longestPause = m_largeBodies.front();
+    if (longestPause->bodyPause() < largeBodyTime)
+        return false;
+    longestPause->endLargeBody();
+    return true;
+}
+
 void HttpServer::setLimits(const Limits& limits)
 {
     m_limits = limits;
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -11,6 +11,7 @@
  * - Requests in progress: one that doesn't fit is refused as not run (RequestMemory).
  * - Answers that aren't read: beyond the limit the connection with the most bytes is closed, and so is one that takes nothing for the idle
  *   time.
+ * - Bytes that are not read yet: each connection has its part of the limit, and a few large bodies more.
  * - Connections: beyond the limit one that has no request in progress is closed, first of all one that has sent none.
  * A request whose answer needs its head alone is answered before its body has come.
  *
@@ -79,6 +80,7 @@
         std::size_t unsentBytes = 64u << 20; ///< That wait for all callers together.
         std::size_t receivingBytes = 32u << 20; ///< Of all requests together that have not been received whole.
         std::size_t progressBytes = 32u << 20; ///< Of all requests in progress together.
+        std::size_t unreadBytes = 32u << 20; ///< That have arrived on all connections together and are not read yet.
     };
     using Handler = std::function<void(HttpRequest&&, std::shared_ptr<HttpAnswer>)>;
     /// What is known of a request by its head.
@@ -128,6 +130,8 @@
     bool makeRoomIn(Connections&, Duration minAge);
     void closeLargestUnsent();
     void refuseLargestReceived();
+    [[nodiscard]] int receiveBuffer() const;
+    bool makeRoomForLargeBody();
 
     Strand m_strand;
     Handler m_handler;
@@ -140,6 +144,7 @@
     std::atomic<std::size_t> m_connectionCount = 0; ///< Of m_connections.
     Connections m_unproductive; ///< Those that have sent no request yet, or not the whole of one; oldest first.
     Connections m_idle; ///< Those between two requests; idle for longest first.
+    Connections m_largeBodies; ///< Those with a large receive buffer; first the one that has sent nothing for longest.
     BufferBudget<Connection*> m_unsent { m_limits.unsentBytes };
     BufferBudget<Connection*> m_receiving { m_limits.receivingBytes };
     RequestMemory m_inProgress { m_limits.progressBytes };
--- a/src/process/ForwardRole.h
+++ b/src/process/ForwardRole.h
@@ -37,6 +37,7 @@
     static constexpr Duration drainAcceptPeriod = 2600ms;
     /// Connections to the readiness check, which load balancers ask about once a second each.
     static constexpr std::size_t readyCheckConnections = 64;
+    static constexpr std::size_t readyCheckBytes = 4096; ///< That the kernel holds of one.
 
     /// In bytes; callers choose their ids.
     static constexpr std::size_t longestLoggedId = 64;
@@ -285,6 +286,7 @@
     {
         HttpServer::Limits limits;
         limits.connections = readyCheckConnections;
+        limits.unreadBytes = readyCheckConnections * readyCheckBytes;
         return limits;
     }
 
--- a/src/process/MemoryShares.h
+++ b/src/process/MemoryShares.h
@@ -1,8 +1,8 @@
 /** \file
  * How much of a process's memory may be used for what its callers and replicas send.
  *
- * Each kind of use has a limit of its own, so that one that is used up leaves the others. Together they are half of the memory. The other
- * half is for the process itself, connections, and strings, whose capacity exceeds their size.
+ * Each kind of use has a limit of its own, so that one that is used up leaves the others. Together they are five eighths of the
+ * memory. The rest is for the process itself, connections, and strings, whose capacity exceeds their size.
  */
 #pragma once
 
@@ -24,6 +24,7 @@
     [[nodiscard]] std::size_t requestsInProgress() const { return m_memory / shares; }
     [[nodiscard]] std::size_t bufferedAnswers() const { return m_memory / shares; } ///< Of replicas, that have not come whole.
     [[nodiscard]] std::size_t unsentAnswers() const { return m_memory / shares; } ///< That wait for callers.
+    [[nodiscard]] std::size_t unreadBytes() const { return m_memory / shares; } ///< That the kernel holds.
 
 private:
     static constexpr std::size_t shares = 8;
@@ -37,6 +38,7 @@
     limits.receivingBytes = memory.receivedRequests();
     limits.progressBytes = memory.requestsInProgress();
     limits.unsentBytes = memory.unsentAnswers();
+    limits.unreadBytes = memory.unreadBytes();
     return limits;
 }
 
