--- a/test/failure/MisbehavingCallerTest.cpp
+++ b/test/failure/MisbehavingCallerTest.cpp
@@ -117,6 +117,28 @@
     }
 }
 
+TEST_CASE("many requests at once that are sound but for their size")
+{
+    // Guards against a gateway that is over its memory, or loses its links, by what it sends on for a few callers.
+    Site site;
+    constexpr std::size_t clients = 40;
+    for (std::size_t bytes : { bodyLimit - 200, bodyLimit / 2, bodyLimit / 8 }) {
+        auto size = std::to_string(bytes / 1000) + " KB";
+        const std::string prompt(bytes, 'x');
+        const auto generation = R"({"model":"lugeja","max_tokens":2,"prompt":")" + prompt + "\"}";
+        site.play("service calls of " + size, clients, [&](std::size_t) {
+            RawClient client(site.address());
+            if (client.send(headOf("/services/saatja/x", lengthField(prompt.size())) + prompt))
+                client.readStatus();
+        });
+        site.play("generations of " + size, clients, [&](std::size_t) {
+            RawClient client(site.address());
+            if (client.send(headOf("/v1/completions", lengthField(generation.size())) + generation))
+                client.readStatus();
+        });
+    }
+}
+
 TEST_CASE("bodies that take many times their size, or all of the stack, once they are read")
 {
     // Guards against a gateway that ends over one request: a list of lists is read by functions that call themselves.
