--- a/test/support/RawClient.h
+++ b/test/support/RawClient.h
@@ -7,10 +7,13 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
+#include <mutex>
 #include <string>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/time.h>
+#include <thread>
 
 namespace wrenhinge::test {
 
@@ -47,6 +50,30 @@
     rlimit m_former {};
 };
 
+/// What the clients of a test send together is at most as much as an instance's link carries.
+class Link {
+public:
+    explicit Link(std::size_t bytesPerSecond)
+        : m_secondsPerByte(1.0 / static_cast<double>(bytesPerSecond))
+    {
+    }
+    /// Waits until so many bytes may be sent.
+    void wait(std::size_t bytes)
+    {
+        std::unique_lock lock(m_mutex);
+        auto from = std::max(m_freeAt, std::chrono::steady_clock::now());
+        auto took = std::chrono::duration<double>(static_cast<double>(bytes) * m_secondsPerByte);
+        m_freeAt = from + std::chrono::duration_cast<std::chrono::steady_clock::duration>(took);
+        lock.unlock();
+        std::this_thread::sleep_until(from);
+    }
+
+private:
+    double m_secondsPerByte;
+    std::mutex m_mutex;
+    std::chrono::steady_clock::time_point m_freeAt {};
+};
+
 /// A client's connection. Its writes and reads end without an error where the other side has closed.
 class RawClient {
 public:
