Callers that closed their side before they are accepted come last

Callers saw: beside clients that connect, send one request and leave at once, as many as a link of 10 Mbit/s carries, ordinary callers waited up to 4.4 s for a gateway with 0.09 of a core.

Cause: new connections are accepted in their order, and each of those that had gone was read, handled and given up; thousands waited before an ordinary one.

Why it holds: one that has closed its side costs little more than its accept, and at most four in 20 ms are read, of 64 that wait; others are closed unread, so their callers may come again.

--- a/src/connection/Asio.cpp
+++ b/src/connection/Asio.cpp
@@ -1,6 +1,8 @@
 #include "connection/Asio.h"
 
 #include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace wrenhinge {
@@ -16,6 +18,13 @@
     return n ? ErrorCode(errno, boost::system::system_category()) : ErrorCode(boost::asio::error::eof);
 }
 
+bool hasPeerClosed(Tcp::socket& socket)
+{
+    tcp_info info {};
+    socklen_t length = sizeof info;
+    return !::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length) && info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 bool isQuiet(Tcp::socket& socket)
 {
     char c = 0;
--- a/src/connection/Asio.h
+++ b/src/connection/Asio.h
@@ -31,6 +31,9 @@
     socket.async_read_some(buf, std::move(handler));
 }
 
+/// Whether the peer has closed its side already, whatever it has sent before.
+bool hasPeerClosed(Tcp::socket&);
+
 /// Whether the connection is open and no bytes wait to be read. An idle connection on which something has arrived must not be reused: it
 /// was closed, or the bytes belong to no request.
 bool isQuiet(Tcp::socket&);
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -20,6 +20,10 @@
     /// Looks at so many connections for one to close.
     constexpr int roomAttempts = 8;
     constexpr Duration acceptAgainAfter = 50ms;
+    /// So many connections whose callers have closed their side may wait, and so many of them are read in this time.
+    constexpr std::size_t waitingHalfClosed = 64;
+    constexpr std::size_t halfClosedAtOnce = 4;
+    constexpr Duration halfClosedInterval = 20ms;
 
 } // namespace
 
@@ -29,6 +33,7 @@
     , m_headCheck(std::move(headCheck))
     , m_errorFormat(std::move(errorFormat))
     , m_acceptor(m_strand)
+    , m_halfClosedTimer(m_strand)
 {
 }
 
@@ -88,13 +93,10 @@
     m_acceptor.async_accept(m_strand, [this](ErrorCode ec, Tcp::socket socket) {
         if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
             return;
-        // Beyond the limit the connection is closed unread, so the caller may safely try another gateway.
-        if (!ec && (m_connections.size() < m_limits.connections || makeRoom())) {
-            auto connection = std::make_shared<Connection>(*this, std::move(socket));
-            m_connections.insert(connection);
-            m_connectionCount = m_connections.size();
-            connection->start();
-        }
+        if (!ec && hasPeerClosed(socket))
+            admitLater(std::move(socket));
+        else if (!ec)
+            admit(std::move(socket));
         if (!ec || (ec == boost::asio::error::no_descriptors && makeRoom()))
             return accept();
         // An immediate retry would probably fail too.
@@ -103,6 +105,37 @@
     });
 }
 
+/// Beyond the limit the connection is closed unread, so the caller may safely try another gateway.
+void HttpServer::admit(Tcp::socket socket)
+{
+    if (m_connections.size() >= m_limits.connections && !makeRoom())
+        return;
+    auto connection = std::make_shared<Connection>(*this, std::move(socket));
+    m_connections.insert(connection);
+    m_connectionCount = m_connections.size();
+    connection->start();
+}
+
+/// Behind thousands that connect, send a request and leave, a caller that still waits would be late by the time that they all take.
+void HttpServer::admitLater(Tcp::socket socket)
+{
+    if (m_halfClosed.size() >= waitingHalfClosed)
+        return;
+    m_halfClosed.push_back(std::move(socket));
+    if (m_halfClosed.size() == 1)
+        m_halfClosedTimer.start(halfClosedInterval, [this] { admitWaiting(); });
+}
+
+void HttpServer::admitWaiting()
+{
+    for (std::size_t i = 0; i < halfClosedAtOnce && !m_halfClosed.empty(); ++i) {
+        admit(std::move(m_halfClosed.front()));
+        m_halfClosed.pop_front();
+    }
+    if (!m_halfClosed.empty())
+        m_halfClosedTimer.start(halfClosedInterval, [this] { admitWaiting(); });
+}
+
 /// Closes the connection that is least likely to be of use and has no request in progress. \returns false if there is none.
 bool HttpServer::makeRoom()
 {
@@ -149,6 +182,8 @@
     ErrorCode ignored;
     m_acceptor.close(ignored);
     m_isClosing = m_isClosed = true;
+    m_halfClosedTimer.cancel();
+    m_halfClosed.clear();
     auto connections = m_connections;
     for (const auto& connection : connections) {
         if (connection->isIdle())
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -13,6 +13,7 @@
  *   time.
  * - Bytes that are not read yet: each connection has its part of the limit, and a few large bodies more.
  * - Connections: beyond the limit one that has no request in progress is closed, first of all one that has sent none.
+ * - Callers that have closed their side before they are accepted: mostly they have gone, so they come last, and few of them wait.
  * A request whose answer needs its head alone is answered before its body has come.
  *
  * Runs on the strand passed to it.
@@ -24,8 +25,10 @@
 #include "base/ResultCode.h"
 #include "connection/Asio.h"
 #include "connection/HeaderFields.h"
+#include "connection/Timer.h"
 
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <list>
 #include <memory>
@@ -126,6 +129,9 @@
     class Connection;
     using Connections = std::list<Connection*>;
     void accept();
+    void admit(Tcp::socket);
+    void admitLater(Tcp::socket);
+    void admitWaiting();
     bool makeRoom();
     bool makeRoomIn(Connections&, Duration minAge);
     void closeLargestUnsent();
@@ -140,6 +146,8 @@
     Limits m_limits;
     Counters m_counters;
     Tcp::acceptor m_acceptor;
+    std::deque<Tcp::socket> m_halfClosed; ///< Their callers had closed their side before they were accepted.
+    Timer m_halfClosedTimer;
     std::set<std::shared_ptr<Connection>> m_connections;
     std::atomic<std::size_t> m_connectionCount = 0; ///< Of m_connections.
     Connections m_unproductive; ///< Those that have sent no request yet, or not the whole of one; oldest first.
