A connection keeps its large receive buffer until another one needs it

By reading: the buffer was made small as soon as a body was whole, and the next large body of the same connection would have come late over a link whose packets are larger than the small buffer. Beside it, what the parser kept of a head is freed with its fields, and a unit test holds that callers who closed their side come after those that wait and are answered.

--- a/src/connection/HttpConnection.cpp
+++ b/src/connection/HttpConnection.cpp
@@ -293,7 +293,7 @@
     m_request.target = m_parser->target();
     m_request.host = m_parser->host();
     m_request.headers = withoutConnectionHeaders(m_parser->fields());
-    m_parser->releaseFields();
+    m_parser->releaseHead();
 }
 
 bool HttpServer::Connection::answerAtHead()
@@ -349,7 +349,6 @@
     m_state = State::Answering;
     m_timer.cancel();
     leaveQueue();
-    endLargeBody();
     m_server.m_receiving.set(this, 0);
     auto request = std::exchange(m_request, {});
     request.body = std::move(m_parser->body());
--- a/src/connection/HttpConnection.h
+++ b/src/connection/HttpConnection.h
@@ -39,7 +39,7 @@
     void disconnect() { close(); }
     /// \returns how long nothing has come of its large body.
     [[nodiscard]] Duration bodyPause() const { return currentInstant() - m_lastReadAt; }
-    /// Gives the large receive buffer back. Not while its body comes: a sender that has seen a large window waits for long before it
+    /// Gives the large receive buffer back. Only for another connection: a sender that has seen a large window waits for long before it
     /// uses a small one.
     void endLargeBody();
     /// Refuses a request that has not come whole.
@@ -138,7 +138,7 @@
     std::optional<Timer> m_pause; ///< Set while it isn't read.
     Connections* m_queue = nullptr; ///< The list of the server that it is in.
     Connections::iterator m_inQueue;
-    Connections::iterator m_inLargeBodies;
+    Connections::iterator m_inLargeBodies; ///< If it has a large receive buffer.
     Instant m_queuedSince;
     Instant m_startedAt;
     Instant m_lastReadAt;
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -152,7 +152,8 @@
     std::atomic<std::size_t> m_connectionCount = 0; ///< Of m_connections.
     Connections m_unproductive; ///< Those that have sent no request yet, or not the whole of one; oldest first.
     Connections m_idle; ///< Those between two requests; idle for longest first.
-    Connections m_largeBodies; ///< Those with a large receive buffer; first the one that has sent nothing for longest.
+    Connections
+        m_largeBodies; ///< Those with a large receive buffer, since a body came or comes; first the one that has sent nothing for longest.
     BufferBudget<Connection*> m_unsent { m_limits.unsentBytes };
     BufferBudget<Connection*> m_receiving { m_limits.receivingBytes };
     RequestMemory m_inProgress { m_limits.progressBytes };
--- a/src/connection/RequestParser.cpp
+++ b/src/connection/RequestParser.cpp
@@ -32,6 +32,13 @@
     }
 }
 
+void RequestParser::releaseHead()
+{
+    m_target = {};
+    m_host = {};
+    m_fields = {};
+}
+
 std::size_t RequestParser::on_body_impl(Text part, ErrorCode&)
 {
     m_body.append(part.data(), part.size());
--- a/src/connection/RequestParser.h
+++ b/src/connection/RequestParser.h
@@ -29,8 +29,8 @@
     [[nodiscard]] const HeaderFields& fields() const { return m_fields; }
     /// Why the framing is ambiguous, so that two parsers could read it differently, or nothing.
     [[nodiscard]] std::optional<std::string> framingFault() const;
-    /// The fields are of no more use.
-    void releaseFields() { m_fields = {}; }
+    /// Frees what was kept of the head.
+    void releaseHead();
 
     /// As far as it has come.
     [[nodiscard]] std::string& body() { return m_body; }
--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -870,6 +870,23 @@
     CHECK(busy.readTo("served").starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("callers that closed their side before they are accepted are answered, after those that wait")
+{
+    // Guards against a caller who waits for the answers to all that have connected, asked and left before it.
+    HandRunServer server({});
+    constexpr std::size_t gone = 30;
+    std::vector<std::unique_ptr<Client>> clients;
+    for (std::size_t i = 0; i <= gone; ++i) {
+        clients.push_back(std::make_unique<Client>(server.address));
+        clients.back()->send(get(i < gone ? "/gone" : "/waits"));
+        if (i < gone)
+            clients.back()->socket().shutdown(Tcp::socket::shutdown_send);
+    }
+    server.awaitRequests(1);
+    CHECK(server.requests[0].target == "/waits");
+    server.awaitRequests(1 + gone);
+}
+
 TEST_CASE("bytes without end fail their call, wherever they stand")
 {
     // Guards against a call that keeps a connection, memory or the processor for as long as a faulty replica sends.
