A caller is accepted soon behind a crowd, and bytes that are thrown away do not keep all others waiting

Callers saw: beside 2,000 clients that send a megabyte of a body each at once, ordinary callers were served after up to 10.8 s.

Cause, two parts of one fault, what a turn of the event loop may cost: one connection was accepted in each turn, so a caller waited for as many turns as there were connections before it; and each turn read from all refused connections what was only to be thrown away, 2 GB and 11 to 13 s of processor.

--- a/src/connection/HttpConnection.cpp
+++ b/src/connection/HttpConnection.cpp
@@ -25,6 +25,9 @@
     constexpr int freeSmallReads = 16;
     constexpr std::size_t smallReadBytes = 512;
     constexpr Duration smallReadPause = 20ms;
+    /// Between reads of bytes that are thrown away, if more connections than these send any: otherwise all others would wait behind them.
+    constexpr Duration discardPause = 100ms;
+    constexpr std::size_t discardingWithoutPause = 64;
     /// How long a connection is still read after its sending side was closed. Closing it with unread bytes would reset it, and the
     /// last answer could be lost.
     constexpr Duration lingerTime = 1s;
@@ -179,22 +182,34 @@
     if (m_isReading || m_state == State::Closed || m_pause)
         return;
     if (m_state == State::Reading && m_smallReads > freeSmallReads)
-        return pause();
-    m_isReading = true;
-    readSomeOrEnd(
-        m_socket, boost::asio::buffer(m_chunk), [self = shared_from_this()](ErrorCode ec, std::size_t n) { self->received(ec, n); });
+        return pause(smallReadPause);
+    if (isDiscarding()) {
+        m_server.m_discarding.insert(this);
+        if (m_server.m_discarding.size() > discardingWithoutPause)
+            return pause(discardPause);
+    }
+    readNow();
 }
 
-void HttpServer::Connection::pause()
+void HttpServer::Connection::pause(Duration duration)
 {
-    m_smallReads = freeSmallReads;
+    m_smallReads = std::min(m_smallReads, freeSmallReads);
     m_pause.emplace(m_socket.get_executor());
-    m_pause->start(smallReadPause, [self = shared_from_this()] {
+    m_pause->start(duration, [self = shared_from_this()] {
         self->m_pause.reset();
-        self->read();
+        self->readNow();
     });
 }
 
+void HttpServer::Connection::readNow()
+{
+    if (m_isReading || m_state == State::Closed)
+        return;
+    m_isReading = true;
+    readSomeOrEnd(
+        m_socket, boost::asio::buffer(m_chunk), [self = shared_from_this()](ErrorCode ec, std::size_t n) { self->received(ec, n); });
+}
+
 void HttpServer::Connection::received(ErrorCode ec, std::size_t n)
 {
     m_isReading = false;
@@ -204,7 +219,7 @@
     if (ec)
         return close();
     noteRead();
-    if (m_state == State::Lingering || m_state == State::Ending || m_isOverrun)
+    if (isDiscarding())
         discard(n);
     else
         take(n);
@@ -380,6 +395,7 @@
     m_server.m_connectionCount = m_server.m_connections.size();
     m_server.m_unsent.set(this, 0);
     m_server.m_receiving.set(this, 0);
+    m_server.m_discarding.erase(this);
     leaveQueue();
     leave(State::Closed);
 }
--- a/src/connection/HttpConnection.h
+++ b/src/connection/HttpConnection.h
@@ -85,8 +85,10 @@
     void releaseInput();
     void expectRequest();
     void read();
-    /// Lets the small pieces of a request come together: each costs as much processor time as a large one.
-    void pause();
+    void readNow();
+    /// Small pieces of a request come together meanwhile: each costs as much processor time as a large one.
+    void pause(Duration);
+    [[nodiscard]] bool isDiscarding() const { return m_state == State::Lingering || m_state == State::Ending || m_isOverrun; }
     void received(ErrorCode ec, std::size_t n);
     /// Received bytes are of no use: the connection is closed after its answer.
     void discard(std::size_t n);
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -20,6 +20,7 @@
     /// Looks at so many connections for one to close.
     constexpr int roomAttempts = 8;
     constexpr Duration acceptAgainAfter = 50ms;
+    constexpr std::size_t acceptedAtOnce = 64;
     /// So many connections whose callers have closed their side may wait, and so many of them are read in this time.
     constexpr std::size_t waitingHalfClosed = 64;
     constexpr std::size_t halfClosedAtOnce = 4;
@@ -55,6 +56,7 @@
     // Connections inherit it.
     ErrorCode ignored;
     m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer()), ignored);
+    m_acceptor.non_blocking(true, ignored);
     accept();
     return bound;
 }
@@ -93,10 +95,10 @@
     m_acceptor.async_accept(m_strand, [this](ErrorCode ec, Tcp::socket socket) {
         if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
             return;
-        if (!ec && hasPeerClosed(socket))
-            admitLater(std::move(socket));
-        else if (!ec)
-            admit(std::move(socket));
+        if (!ec) {
+            admitOrDelay(std::move(socket));
+            acceptOthers();
+        }
         if (!ec || (ec == boost::asio::error::no_descriptors && makeRoom()))
             return accept();
         // An immediate retry would probably fail too.
@@ -105,6 +107,30 @@
     });
 }
 
+/// A turn of the event loop serves each connection that has something to read. If only one were accepted in each, a caller behind a crowd
+/// would wait for as many turns as the crowd has connections.
+void HttpServer::acceptOthers()
+{
+    // Fewer than there are places, or some would make room for others before they are read.
+    auto most = std::min(acceptedAtOnce, m_limits.connections / 4);
+    for (std::size_t i = 1; i < most; ++i) {
+        ErrorCode ec;
+        Tcp::socket socket(m_strand);
+        m_acceptor.accept(socket, ec);
+        if (ec)
+            return;
+        admitOrDelay(std::move(socket));
+    }
+}
+
+void HttpServer::admitOrDelay(Tcp::socket socket)
+{
+    if (hasPeerClosed(socket))
+        admitLater(std::move(socket));
+    else
+        admit(std::move(socket));
+}
+
 /// Beyond the limit the connection is closed unread, so the caller may safely try another gateway.
 void HttpServer::admit(Tcp::socket socket)
 {
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -129,6 +129,8 @@
     class Connection;
     using Connections = std::list<Connection*>;
     void accept();
+    void acceptOthers();
+    void admitOrDelay(Tcp::socket);
     void admit(Tcp::socket);
     void admitLater(Tcp::socket);
     void admitWaiting();
@@ -154,6 +156,7 @@
     Connections m_idle; ///< Those between two requests; idle for longest first.
     Connections
         m_largeBodies; ///< Those with a large receive buffer, since a body came or comes; first the one that has sent nothing for longest.
+    std::set<Connection*> m_discarding; ///< Those whose further bytes are of no use.
     BufferBudget<Connection*> m_unsent { m_limits.unsentBytes };
     BufferBudget<Connection*> m_receiving { m_limits.receivingBytes };
     RequestMemory m_inProgress { m_limits.progressBytes };
