--- a/src/connection/HttpConnection.cpp
+++ b/src/connection/HttpConnection.cpp
@@ -82,7 +82,7 @@
     m_output.clear();
     m_writeTimer.cancel();
     noteUnsent();
-    queueIn(m_server.m_unproductive);
+    queueIn(m_server.m_lingering);
     ErrorCode ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
     m_lingersUntil = currentInstant() + m_server.m_limits.idleTime;
@@ -403,7 +403,9 @@
 void HttpServer::Connection::leave(State next)
 {
     bool wasAnswering = m_state == State::Answering;
+    m_server.m_endingCount -= m_state == State::Ending ? 1 : 0;
     m_state = next;
+    m_server.notePlace();
     if (auto gone = std::exchange(onGone, nullptr); gone && wasAnswering)
         gone();
 }
--- a/src/connection/HttpConnectionOutput.cpp
+++ b/src/connection/HttpConnectionOutput.cpp
@@ -85,7 +85,7 @@
 
 std::string HttpServer::Connection::head(int status, const HeaderList& headers)
 {
-    m_keepAlive = m_keepAlive && !m_server.m_isClosing;
+    m_keepAlive = m_keepAlive && !m_server.m_isClosing && !m_server.isCrowded();
     std::string text = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reasonOf(status)) + "\r\n";
     appendHeaders(text, headers);
     if (!m_keepAlive)
@@ -116,6 +116,7 @@
 void HttpServer::Connection::closeWhenWritten()
 {
     m_state = State::Ending;
+    ++m_server.m_endingCount;
     m_timer.cancel();
     releaseInput();
     leaveQueue();
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -20,6 +20,8 @@
     /// Looks at so many connections for one to close.
     constexpr int roomAttempts = 8;
     constexpr Duration acceptAgainAfter = 50ms;
+    /// A new connection waits so long for a place while last answers are being written.
+    constexpr Duration placeTime = 5ms;
     constexpr std::size_t acceptedAtOnce = 64;
     /// So many connections whose callers have closed their side may wait, and so many of them are read in this time.
     constexpr std::size_t waitingHalfClosed = 64;
@@ -35,6 +37,7 @@
     , m_errorFormat(std::move(errorFormat))
     , m_acceptor(m_strand)
     , m_halfClosedTimer(m_strand)
+    , m_waitingTimer(m_strand)
 {
 }
 
@@ -92,7 +95,11 @@
 
 void HttpServer::accept()
 {
+    if (m_isAccepting || m_waiting || !m_acceptor.is_open())
+        return;
+    m_isAccepting = true;
     m_acceptor.async_accept(m_strand, [this](ErrorCode ec, Tcp::socket socket) {
+        m_isAccepting = false;
         if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
             return;
         if (!ec) {
@@ -113,7 +120,7 @@
 {
     // Fewer than there are places, or some would make room for others before they are read.
     auto most = std::min(acceptedAtOnce, m_limits.connections / 4);
-    for (std::size_t i = 1; i < most; ++i) {
+    for (std::size_t i = 1; i < most && !m_waiting; ++i) {
         ErrorCode ec;
         Tcp::socket socket(m_strand);
         m_acceptor.accept(socket, ec);
@@ -131,11 +138,41 @@
         admit(std::move(socket));
 }
 
-/// Beyond the limit the connection is closed unread, so the caller may safely try another gateway.
+/// Beyond the limit the connection is closed unread, so the caller may safely try another gateway. It waits first where last answers are
+/// being written: they all may be, in one turn of the event loop.
 void HttpServer::admit(Tcp::socket socket)
 {
-    if (m_connections.size() >= m_limits.connections && !makeRoom())
+    if (hasRoom())
+        return start(std::move(socket));
+    if (m_waiting || !m_endingCount)
+        return;
+    m_waiting = std::move(socket);
+    m_waitingTimer.start(placeTime, [this] {
+        m_waiting.reset();
+        accept();
+    });
+}
+
+void HttpServer::notePlace()
+{
+    if (m_waiting)
+        boost::asio::post(m_strand, [this] { admitWaitingForPlace(); });
+}
+
+void HttpServer::admitWaitingForPlace()
+{
+    if (!m_waiting || !hasRoom())
         return;
+    m_waitingTimer.cancel();
+    start(std::move(*m_waiting));
+    m_waiting.reset();
+    accept();
+}
+
+bool HttpServer::hasRoom() { return m_connections.size() < m_limits.connections || makeRoom(); }
+
+void HttpServer::start(Tcp::socket socket)
+{
     auto connection = std::make_shared<Connection>(*this, std::move(socket));
     m_connections.insert(connection);
     m_connectionCount = m_connections.size();
@@ -165,7 +202,7 @@
 /// Closes the connection that is least likely to be of use and has no request in progress. \returns false if there is none.
 bool HttpServer::makeRoom()
 {
-    return makeRoomIn(m_unproductive, firstRequestTime) || makeRoomIn(m_idle, Duration::zero())
+    return makeRoomIn(m_unproductive, firstRequestTime) || makeRoomIn(m_lingering, Duration::zero()) || makeRoomIn(m_idle, Duration::zero())
         || makeRoomIn(m_unproductive, Duration::zero());
 }
 
@@ -210,6 +247,8 @@
     m_isClosing = m_isClosed = true;
     m_halfClosedTimer.cancel();
     m_halfClosed.clear();
+    m_waitingTimer.cancel();
+    m_waiting.reset();
     auto connections = m_connections;
     for (const auto& connection : connections) {
         if (connection->isIdle())
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -12,7 +12,8 @@
  * - Answers that aren't read: beyond the limit the connection with the most bytes is closed, and so is one that takes nothing for the idle
  *   time.
  * - Bytes that are not read yet: each connection has its part of the limit, and a few large bodies more.
- * - Connections: beyond the limit one that has no request in progress is closed, first of all one that has sent none.
+ * - Connections: beyond the limit one that has no request in progress is closed, first of all one that has sent none. Beyond three quarters
+ *   of it a connection ends with its answer.
  * - Callers that have closed their side before they are accepted: mostly they have gone, so they come last, and few of them wait.
  * A request whose answer needs its head alone is answered before its body has come.
  *
@@ -132,8 +133,15 @@
     void acceptOthers();
     void admitOrDelay(Tcp::socket);
     void admit(Tcp::socket);
+    void notePlace();
+    void admitWaitingForPlace();
+    void start(Tcp::socket);
     void admitLater(Tcp::socket);
     void admitWaiting();
+    /// Whether connections end with their answer. Otherwise those that always have a request in progress would keep their places, and none
+    /// would be left for others.
+    [[nodiscard]] bool isCrowded() const { return m_connections.size() > m_limits.connections - m_limits.connections / sparePart; }
+    bool hasRoom();
     bool makeRoom();
     bool makeRoomIn(Connections&, Duration minAge);
     void closeLargestUnsent();
@@ -141,6 +149,9 @@
     [[nodiscard]] int receiveBuffer() const;
     bool makeRoomForLargeBody();
 
+    /// One place of so many is spare.
+    static constexpr std::size_t sparePart = 4;
+
     Strand m_strand;
     Handler m_handler;
     HeadCheck m_headCheck;
@@ -150,9 +161,13 @@
     Tcp::acceptor m_acceptor;
     std::deque<Tcp::socket> m_halfClosed; ///< Their callers had closed their side before they were accepted.
     Timer m_halfClosedTimer;
+    std::optional<Tcp::socket> m_waiting; ///< Has found no place. No other connection is accepted meanwhile.
+    Timer m_waitingTimer;
     std::set<std::shared_ptr<Connection>> m_connections;
+    std::size_t m_endingCount = 0; ///< Of m_connections; their last answers are being written.
     std::atomic<std::size_t> m_connectionCount = 0; ///< Of m_connections.
     Connections m_unproductive; ///< Those that have sent no request yet, or not the whole of one; oldest first.
+    Connections m_lingering; ///< Those that have got their last answer; oldest first.
     Connections m_idle; ///< Those between two requests; idle for longest first.
     Connections
         m_largeBodies; ///< Those with a large receive buffer, since a body came or comes; first the one that has sent nothing for longest.
@@ -160,6 +175,7 @@
     BufferBudget<Connection*> m_unsent { m_limits.unsentBytes };
     BufferBudget<Connection*> m_receiving { m_limits.receivingBytes };
     RequestMemory m_inProgress { m_limits.progressBytes };
+    bool m_isAccepting = false;
     bool m_isClosing = false;
     bool m_isClosed = false; ///< Each connection is closed when its request in progress ends.
 };
