--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -870,6 +870,26 @@
     CHECK(busy.readTo("served").starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("beyond three quarters of the places a connection ends with its answer, and a new one gets its place")
+{
+    // Guards against connections that always have a request in progress and so keep all places.
+    HttpServer::Limits limits;
+    limits.connections = 4;
+    HandRunServer server(limits);
+    std::vector<std::unique_ptr<Client>> clients;
+    for (std::size_t i = 0; i < limits.connections; ++i) {
+        clients.push_back(std::make_unique<Client>(server.address));
+        clients.back()->send(get("/") + get("/ahead"));
+        server.awaitRequests(i + 1);
+    }
+    server.answers[0]->reply(200, {}, "first");
+    Client next(server.address);
+    next.send(get("/next"));
+    server.awaitRequests(limits.connections + 1);
+    CHECK(server.requests.back().target == "/next");
+    CHECK(clients[0]->readTo("first").find("Connection: close\r\n") != std::string::npos);
+}
+
 TEST_CASE("callers that closed their side before they are accepted are answered, after those that wait")
 {
     // Guards against a caller who waits for the answers to all that have connected, asked and left before it.
