--- a/test/correctness/LinkTest.cpp
+++ b/test/correctness/LinkTest.cpp
@@ -80,6 +80,28 @@
     std::thread thread;
 };
 
+/// A link whose peer reads nothing.
+struct UnreadLink {
+    UnreadLink()
+    {
+        Tcp::socket ours(io);
+        ours.connect(acceptor.local_endpoint());
+        theirs = acceptor.accept();
+        link = PeerLink::make(std::move(ours), PeerLink::Side::Dialled);
+        link->start({ [](HybridTime, Message&&) {}, [this] { isClosed = true; } });
+    }
+    void poll()
+    {
+        io.restart();
+        io.poll();
+    }
+    IoContext io;
+    Tcp::acceptor acceptor { io, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0) };
+    Tcp::socket theirs { io };
+    bool isClosed = false;
+    std::shared_ptr<PeerLink> link;
+};
+
 /// Speaks to a hub as a peer of another release would: its first words are `first`.
 std::shared_ptr<PeerLink> speak(Net& net, Record& record, const std::string& address, const std::vector<Message>& words)
 {
@@ -140,58 +162,41 @@
 TEST_CASE("a link whose peer does not read is given up before it fills the memory")
 {
     // Guards against a process that runs out of memory because a peer reads too slowly.
-    IoContext io;
-    Tcp::acceptor acceptor(io, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    Tcp::socket ours(io);
-    ours.connect(acceptor.local_endpoint());
-    auto theirs = acceptor.accept();
-    auto link = PeerLink::make(std::move(ours), PeerLink::Side::Dialled);
-    bool isClosed = false;
-    link->start({ [](HybridTime, Message&&) {}, [&] { isClosed = true; } });
+    UnreadLink unread;
+    auto& link = unread.link;
     DocumentPart part;
     part.bytes.assign(1u << 20, 'x');
     std::size_t most = 0;
     // More than the limit and what buffers of the system take.
-    for (int i = 0; i < 64 && !isClosed; ++i) {
+    for (int i = 0; i < 64 && !unread.isClosed; ++i) {
         link->send(part, {});
-        io.restart();
-        io.poll();
+        unread.poll();
         most = std::max(most, link->queuedBytes());
     }
-    CHECK(isClosed);
+    CHECK(unread.isClosed);
     CHECK(most <= PeerLink::queueLimit + (2u << 20));
 }
 
 TEST_CASE("offered messages that wait for a peer leave room for small ones and close no link")
 {
     // Guards against a few large requests that end all requests at an upstream, as their bytes close the link.
-    IoContext io;
-    Tcp::acceptor acceptor(io, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    Tcp::socket ours(io);
-    ours.connect(acceptor.local_endpoint());
-    auto theirs = acceptor.accept();
-    auto link = PeerLink::make(std::move(ours), PeerLink::Side::Dialled);
-    bool isClosed = false;
-    link->start({ [](HybridTime, Message&&) {}, [&] { isClosed = true; } });
-    auto poll = [&io] {
-        io.restart();
-        io.poll();
-    };
-    poll();
+    UnreadLink unread;
+    auto& link = unread.link;
+    unread.poll();
     // One that is alone is sent, whatever its size.
     CHECK(link->offerEncoded(std::string(2 * PeerLink::queueLimit, 'x'), {}));
     int taken = 0;
     constexpr int offers = 64;
     for (int i = 0; i < offers; ++i) {
-        poll();
+        unread.poll();
         taken += link->offerEncoded(std::string(PeerLink::queueLimit / 2, 'x'), {}) ? 1 : 0;
     }
     CHECK(taken < offers);
     DocumentPart part;
     part.bytes.assign(1u << 16, 'x');
     link->send(part, {});
-    poll();
-    CHECK_FALSE(isClosed);
+    unread.poll();
+    CHECK_FALSE(unread.isClosed);
     CHECK(link->queuedBytes() <= 3 * PeerLink::queueLimit);
 }
 
