--- a/src/connection/HttpConnection.cpp
+++ b/src/connection/HttpConnection.cpp
@@ -405,7 +405,7 @@
     bool wasAnswering = m_state == State::Answering;
     m_server.m_endingCount -= m_state == State::Ending ? 1 : 0;
     m_state = next;
-    m_server.notePlace();
+    m_server.noteFreedPlace();
     if (auto gone = std::exchange(onGone, nullptr); gone && wasAnswering)
         gone();
 }
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -143,7 +143,7 @@
 void HttpServer::admit(Tcp::socket socket)
 {
     if (hasRoom())
-        return start(std::move(socket));
+        return startConnection(std::move(socket));
     if (m_waiting || !m_endingCount)
         return;
     m_waiting = std::move(socket);
@@ -153,7 +153,7 @@
     });
 }
 
-void HttpServer::notePlace()
+void HttpServer::noteFreedPlace()
 {
     if (m_waiting)
         boost::asio::post(m_strand, [this] { admitWaitingForPlace(); });
@@ -164,14 +164,14 @@
     if (!m_waiting || !hasRoom())
         return;
     m_waitingTimer.cancel();
-    start(std::move(*m_waiting));
+    startConnection(std::move(*m_waiting));
     m_waiting.reset();
     accept();
 }
 
 bool HttpServer::hasRoom() { return m_connections.size() < m_limits.connections || makeRoom(); }
 
-void HttpServer::start(Tcp::socket socket)
+void HttpServer::startConnection(Tcp::socket socket)
 {
     auto connection = std::make_shared<Connection>(*this, std::move(socket));
     m_connections.insert(connection);
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -133,14 +133,15 @@
     void acceptOthers();
     void admitOrDelay(Tcp::socket);
     void admit(Tcp::socket);
-    void notePlace();
+    /// A connection has ended, or has got its last answer.
+    void noteFreedPlace();
     void admitWaitingForPlace();
-    void start(Tcp::socket);
+    void startConnection(Tcp::socket);
     void admitLater(Tcp::socket);
     void admitWaiting();
     /// Whether connections end with their answer. Otherwise those that always have a request in progress would keep their places, and none
     /// would be left for others.
-    [[nodiscard]] bool isCrowded() const { return m_connections.size() > m_limits.connections - m_limits.connections / sparePart; }
+    [[nodiscard]] bool isCrowded() const { return m_connections.size() > m_limits.connections - m_limits.connections / placesPerFreeOne; }
     bool hasRoom();
     bool makeRoom();
     bool makeRoomIn(Connections&, Duration minAge);
@@ -149,8 +150,8 @@
     [[nodiscard]] int receiveBuffer() const;
     bool makeRoomForLargeBody();
 
-    /// One place of so many is spare.
-    static constexpr std::size_t sparePart = 4;
+    /// The server is crowded once fewer than one place of so many is free.
+    static constexpr std::size_t placesPerFreeOne = 4;
 
     Strand m_strand;
     Handler m_handler;
