One reader of answers for gateways and sidecars; interim answers to a sidecar are skipped

Callers saw, behind a sidecar of the own protocol: an interim answer (100, 103) of an engine or plain service as the answer, whole and without a body; the real answer was thrown away.

Cause: answers were read in two places, each with its own use of the parser, and the sidecar's (UpstreamClient) knew no interim answers. The parser calls such a head complete, so the call ended with it.

Now AnswerReader is the only place where bytes of a replica become an answer; UpstreamPool and UpstreamClient both use it.

Evidence: BrokenAnswerTest (unit), "an unusual answer that the protocol allows is passed on": on the code before, the sidecar's call got 100 for 200 and no body, in one piece and byte by byte; the gateway's call held. After: passes.

--- /dev/null
+++ b/src/connection/AnswerReader.cpp
@@ -0,0 +1,109 @@
+#include "connection/AnswerReader.h"
+
+#include <utility>
+
+namespace wrenhinge {
+
+namespace {
+
+    namespace http = boost::beast::http;
+
+    constexpr std::uint32_t headLimit = 64 * 1024;
+
+} // namespace
+
+AnswerReader::AnswerReader(std::uint64_t bodyLimit, bool isToHead)
+    : m_bodyLimit(bodyLimit)
+    , m_isToHead(isToHead)
+{
+    expectAnswer();
+}
+
+void AnswerReader::expectAnswer()
+{
+    m_parser.emplace();
+    m_parser->header_limit(headLimit);
+    m_parser->body_limit(m_bodyLimit);
+    if (m_isToHead)
+        m_parser->skip(true);
+    m_hasHead = false;
+    m_isSkipping = false;
+}
+
+void AnswerReader::add(std::string_view bytes)
+{
+    boost::asio::buffer_copy(m_input.prepare(bytes.size()), boost::asio::buffer(bytes));
+    m_input.commit(bytes.size());
+}
+
+AnswerReader::Part AnswerReader::next()
+{
+    for (;;) {
+        if (m_hasHead && m_parser->is_done()) {
+            if (!m_isSkipping)
+                return Part::End;
+            expectAnswer();
+        }
+        if (!m_input.size())
+            return Part::None;
+        ErrorCode ec;
+        auto n = m_parser->put(m_input.data(), ec);
+        if (ec == http::error::body_limit)
+            return fail("the answer exceeds the size limit");
+        if (ec && ec != http::error::need_more)
+            return fail("the received bytes are not an HTTP response: " + ec.message());
+        m_precedingBytes += !m_hasHead || m_isSkipping ? n : 0;
+        if (m_precedingBytes > precedingBytesLimit)
+            return fail("more bytes than allowed precede the answer");
+        if (!m_hasHead && m_parser->is_header_done()) {
+            m_input.consume(n);
+            if (auto part = takeHead(); part != Part::None)
+                return part;
+            continue;
+        }
+        m_input.consume(n);
+        if (m_isSkipping)
+            m_parser->get().body().clear();
+        else if (m_hasHead && !m_parser->get().body().empty())
+            return Part::Body;
+        if (ec == http::error::need_more) {
+            // What is left for want of more bytes is the start of a head or of a chunk's header.
+            return m_input.size() > headLimit ? fail("the header of a chunk exceeds the size limit") : Part::None;
+        }
+    }
+}
+
+/// \returns `None` for an interim answer, which is skipped.
+AnswerReader::Part AnswerReader::takeHead()
+{
+    const auto& message = m_parser->get();
+    if (message.result_int() / 100 == 1) {
+        expectAnswer();
+        return Part::None;
+    }
+    m_hasHead = true;
+    // Not before: an eager parser ignores that the stated length exceeds the limit, and allocates that much.
+    m_parser->eager(true);
+    m_head = {};
+    m_head.status = static_cast<int>(message.result_int());
+    for (const auto& field : message)
+        m_head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    m_isReusable = m_isReusable && message.keep_alive() && !m_parser->need_eof();
+    return Part::Head;
+}
+
+void AnswerReader::skip()
+{
+    m_isSkipping = true;
+    m_isReusable = false;
+}
+
+bool AnswerReader::endsWithConnection() const { return m_hasHead && !m_isSkipping && !m_parser->is_done() && m_parser->need_eof(); }
+
+AnswerReader::Part AnswerReader::fail(std::string why)
+{
+    m_fault = std::move(why);
+    return Part::Fault;
+}
+
+} // namespace wrenhinge
--- a/src/connection/UpstreamClient.cpp
+++ b/src/connection/UpstreamClient.cpp
@@ -1,6 +1,8 @@
 #include "connection/UpstreamClient.h"
 
+#include "connection/AnswerReader.h"
 #include "connection/EngineProtocol.h"
+#include "connection/HttpText.h"
 #include "connection/RateLimitHeader.h"
 #include "connection/RetryAfterHeader.h"
 
@@ -14,23 +16,25 @@
     namespace beast = boost::beast;
     namespace http = boost::beast::http;
 
+    constexpr int unavailableStatus = 503;
     constexpr std::size_t readBytes = 16384;
     /// In bytes. Answers in use have a few thousand, and those to prefills a few hundred.
     constexpr std::uint64_t answerLimit = 8u << 20;
     constexpr std::uint64_t prefillAnswerLimit = 1u << 20;
 
-    bool isHopByHop(beast::string_view name)
+    bool isHopByHop(std::string_view name)
     {
-        for (auto hop : { "connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "proxy-connection" }) {
-            if (beast::iequals(name, hop))
+        for (std::string_view hop : { "connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "proxy-connection" }) {
+            if (isSameName(name, hop))
                 return true;
         }
         return false;
     }
 
-    bool isStreamedBody(const http::response_header<>& head)
+    bool isStreamedBody(const HeaderList& headers)
     {
-        return beast::iequals(head[http::field::content_type].substr(0, 17), "text/event-stream");
+        constexpr std::string_view type = "text/event-stream";
+        return isSameName(headerValue(headers, "Content-Type").value_or("").substr(0, type.size()), type);
     }
 
 } // namespace
@@ -42,9 +46,9 @@
         : m_socket(boost::asio::make_strand(io))
         , m_call(std::move(call))
         , m_report(std::move(report))
+        , m_answer(m_call.kind == UpstreamKind::Prefill ? prefillAnswerLimit : answerLimit, m_call.method == "HEAD")
         , m_tokens(true)
     {
-        m_parser.body_limit(m_call.kind == UpstreamKind::Prefill ? prefillAnswerLimit : answerLimit);
     }
 
     /// Posted, since the caller holds the lock of the logic that the report acquires. Any thread, as `abort`; their order is kept:
@@ -110,78 +114,73 @@
             if (ec)
                 return self->breakOff();
             self->m_request.body().clear();
-            self->readHead();
+            self->read();
         });
     }
 
-    void readHead()
+    void read()
     {
-        if (m_request.method() == http::verb::head)
-            m_parser.skip(true);
-        http::async_read_header(m_socket, m_buffer, m_parser, [self = shared_from_this()](ErrorCode ec, std::size_t) {
+        readSomeOrEnd(m_socket, boost::asio::buffer(m_piece), [self = shared_from_this()](ErrorCode ec, std::size_t n) {
+            if (self->m_done)
+                return;
             if (ec)
-                return self->breakOff();
-            self->onHead();
+                return self->onEndOfStream(ec);
+            self->m_answer.add({ self->m_piece.data(), n });
+            self->takeParts();
         });
     }
 
-    void onHead()
+    /// The request was written whole before the first read, so no write has taken the report of a reset.
+    void onEndOfStream(ErrorCode ec)
     {
-        const auto& head = m_parser.get();
-        m_status = static_cast<int>(head.result_int());
-        m_tokens = TokenCounter(isStreamedBody(head));
-        auto headers = headersOf(head);
-        m_rateLimit = readRateLimit(headers, rateLimitName);
-        if (head.result() == http::status::service_unavailable)
-            m_rest = readRetryAfter(headers);
-        if (m_call.kind != UpstreamKind::Plain && m_status >= 400)
-            return fail(true, m_status < 500 ? ResultCode::MalformedRequest : ResultCode::UpstreamFailed);
-        if (m_call.kind != UpstreamKind::Prefill)
-            report(sidecar::CallHead { m_call.id, m_status, std::move(headers), m_rateLimit, m_rest });
-        readBody();
+        if (ec != boost::asio::error::eof || !m_answer.endsWithConnection())
+            return breakOff();
+        end();
     }
 
-    static HeaderList headersOf(const http::response_header<>& head)
+    void takeParts()
     {
-        HeaderList headers;
-        for (const auto& field : head) {
-            if (!isHopByHop(field.name_string()))
-                headers.emplace_back(field.name_string(), field.value());
+        while (!m_done) {
+            switch (m_answer.next()) {
+            case AnswerReader::Part::None:
+                return read();
+            case AnswerReader::Part::Head:
+                onHead();
+                break;
+            case AnswerReader::Part::Body:
+                onBody(m_answer.takeBody());
+                break;
+            case AnswerReader::Part::End:
+                return end();
+            case AnswerReader::Part::Fault:
+                return breakOff();
+            }
         }
-        return headers;
     }
 
-    void readBody()
+    void onHead()
     {
-        auto ended = m_buffer.size() ? ErrorCode() : endOfStream(m_socket);
-        if (ended && !m_parser.is_done()) {
-            ErrorCode ec = ended == boost::asio::error::eof ? ErrorCode() : ended;
-            if (!ec)
-                m_parser.put_eof(ec);
-            if (ec)
-                return breakOff();
-        }
-        if (m_parser.is_done())
-            return end();
-        m_parser.get().body().data = m_piece.data();
-        m_parser.get().body().size = m_piece.size();
-        http::async_read_some(m_socket, m_buffer, m_parser, [self = shared_from_this()](ErrorCode ec, std::size_t) {
-            if (ec && ec != http::error::need_buffer && ec != http::error::end_of_stream)
-                return self->breakOff();
-            self->onBody();
-        });
+        auto headers = m_answer.head().headers;
+        std::erase_if(headers, [](const auto& header) { return isHopByHop(header.first); });
+        auto status = m_answer.head().status;
+        m_tokens = TokenCounter(isStreamedBody(headers));
+        m_rateLimit = readRateLimit(headers, rateLimitName);
+        if (status == unavailableStatus)
+            m_rest = readRetryAfter(headers);
+        if (m_call.kind != UpstreamKind::Plain && status >= 400)
+            return fail(true, status < 500 ? ResultCode::MalformedRequest : ResultCode::UpstreamFailed);
+        if (m_call.kind != UpstreamKind::Prefill)
+            report(sidecar::CallHead { m_call.id, status, std::move(headers), m_rateLimit, m_rest });
     }
 
-    void onBody()
+    void onBody(std::string bytes)
     {
-        auto n = m_piece.size() - m_parser.get().body().size;
-        if (n && m_call.kind == UpstreamKind::Prefill) {
-            m_gathered.append(m_piece.data(), n);
-        } else if (n) {
-            std::string_view piece(m_piece.data(), n);
-            report(sidecar::CallData { m_call.id, std::string(piece), m_call.kind == UpstreamKind::Decode ? m_tokens.count(piece) : 0 });
+        if (m_call.kind == UpstreamKind::Prefill) {
+            m_gathered += bytes;
+        } else {
+            auto tokens = m_call.kind == UpstreamKind::Decode ? m_tokens.count(bytes) : 0;
+            report(sidecar::CallData { m_call.id, std::move(bytes), tokens });
         }
-        readBody();
     }
 
     void end()
@@ -220,14 +219,12 @@
     UpstreamCall m_call;
     Report m_report;
     http::request<http::string_body> m_request;
-    http::response_parser<http::buffer_body> m_parser;
-    beast::flat_buffer m_buffer;
+    AnswerReader m_answer;
     std::array<char, readBytes> m_piece {};
     std::string m_gathered;
     TokenCounter m_tokens;
     StatedRateLimit m_rateLimit;
     std::optional<Duration> m_rest;
-    int m_status = 0;
     bool m_done = false;
 };
 
--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -6,20 +6,12 @@
 #include "connection/Timer.h"
 
 #include <array>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <charconv>
 
 namespace wrenhinge {
 
 namespace {
 
-    namespace http = boost::beast::http;
-    using ResponseParser = http::response_parser<http::string_body>;
-
-    constexpr std::uint32_t answerHeaderLimit = 64 * 1024;
-    /// Limit of what precedes the answer on its connection: interim answers, and late answers to former calls.
-    constexpr std::size_t precedingBytesLimit = 1u << 20;
     /// A connection with unacknowledged bytes or probes fails after this long. Callers give up a stream after 3.6 s.
     constexpr int upstreamSilenceMs = 3000;
 
@@ -81,9 +73,7 @@
         m_isBusy = true;
         m_isWritten = false;
         m_mayHaveRun = false;
-        m_keepAlive = true;
-        m_precedingBytes = 0;
-        expectAnswer();
+        m_answer.emplace(m_handlers.bodyLimit, m_request.isHead);
         if (m_handlers.timeLimit)
             m_callTimer.start(*m_handlers.timeLimit, [self = shared_from_this()] { self->fail("no answer in time"); });
         if (!m_isConnected)
@@ -122,17 +112,6 @@
     [[nodiscard]] bool isUsable(Instant now) { return !m_isClosed && !m_isBusy && now < m_reusableUntil && isQuiet(m_socket); }
 
 private:
-    void expectAnswer()
-    {
-        m_parser.emplace();
-        m_parser->header_limit(answerHeaderLimit);
-        m_parser->body_limit(m_handlers.bodyLimit);
-        if (m_request.isHead)
-            m_parser->skip(true);
-        m_hasHead = false;
-        m_isSkipping = false;
-    }
-
     void write()
     {
         m_mayHaveRun = true;
@@ -171,100 +150,46 @@
         }
         if (ec)
             return ended(ec);
-        boost::asio::buffer_copy(m_input.prepare(n), boost::asio::buffer(m_chunk, n));
-        m_input.commit(n);
-        parse();
+        m_answer->add({ m_chunk.data(), n });
+        takeParts();
         read();
     }
 
     /// The connection has ended. An answer without a length is complete if it ended with an end of file.
     void ended(ErrorCode why)
     {
-        if (why == boost::asio::error::eof && m_parser->is_header_done() && !m_parser->is_done() && m_parser->need_eof()) {
-            ErrorCode ec;
-            m_parser->put_eof(ec);
-            if (!ec && m_parser->is_done()) {
-                m_keepAlive = false;
-                if (m_isSkipping)
-                    return fail("the connection ended");
-                return finish();
-            }
-        }
+        if (why == boost::asio::error::eof && m_answer->endsWithConnection())
+            return finish();
         fail(why == boost::asio::error::eof ? "the connection ended" : "the connection failed: " + why.message());
     }
 
-    void parse()
+    void takeParts()
     {
-        while (m_input.size() && m_isBusy && !m_isClosed) {
-            ErrorCode ec;
-            auto n = m_parser->put(m_input.data(), ec);
-            m_input.consume(n);
-            if (ec == http::error::body_limit)
-                return fail("the answer exceeds the size limit");
-            if (ec && ec != http::error::need_more)
-                return fail("the received bytes are not an HTTP response: " + ec.message());
-            m_precedingBytes += !m_hasHead || m_isSkipping ? n : 0;
-            if (m_precedingBytes > precedingBytesLimit)
-                return fail("more bytes than allowed precede the answer");
-            if (m_parser->is_header_done() && !m_hasHead && !takeHead())
-                continue;
-            passBody();
-            if (!m_isBusy || m_isClosed)
+        while (m_isBusy && !m_isClosed) {
+            switch (m_answer->next()) {
+            case AnswerReader::Part::None:
                 return;
-            if (m_parser->is_done()) {
-                if (m_isSkipping) {
-                    expectAnswer();
-                    continue;
-                }
+            case AnswerReader::Part::Head:
+                takeHead();
+                break;
+            case AnswerReader::Part::Body:
+                if (auto bytes = m_answer->takeBody(); m_handlers.onBody)
+                    m_handlers.onBody(std::move(bytes));
+                break;
+            case AnswerReader::Part::End:
                 return finish();
+            case AnswerReader::Part::Fault:
+                return fail(m_answer->fault());
             }
-            if (ec == http::error::need_more)
-                return failIfUnparsed();
-        }
-    }
-
-    /// What is left for want of more bytes is the start of a head or of a chunk's header.
-    void failIfUnparsed()
-    {
-        if (m_input.size() > answerHeaderLimit)
-            fail("the header of a chunk exceeds the size limit");
-    }
-
-    /// \returns false for an interim (1xx) answer.
-    bool takeHead()
-    {
-        m_hasHead = true;
-        // Not before: an eager parser ignores that the stated length exceeds the limit, and allocates that much.
-        m_parser->eager(true);
-        const auto& message = m_parser->get();
-        if (message.result_int() / 100 == 1) {
-            expectAnswer();
-            return false;
         }
-        m_head = {};
-        m_head.status = static_cast<int>(message.result_int());
-        for (const auto& field : message)
-            m_head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-        m_keepAlive = m_keepAlive && message.keep_alive() && !m_parser->need_eof();
-        if (m_handlers.whose(m_head) == AnswerOwner::FormerCall) {
-            m_isSkipping = true;
-            m_keepAlive = false;
-            return true;
-        }
-        m_handlers.onHead(m_head);
-        return true;
     }
 
-    void passBody()
+    void takeHead()
     {
-        if (!m_hasHead)
-            return;
-        auto& body = m_parser->get().body();
-        if (body.empty())
-            return;
-        auto bytes = std::exchange(body, {});
-        if (!m_isSkipping && m_handlers.onBody)
-            m_handlers.onBody(std::move(bytes));
+        if (m_handlers.whose(m_answer->head()) == AnswerOwner::FormerCall)
+            m_answer->skip();
+        else
+            m_handlers.onHead(m_answer->head());
     }
 
     void finish()
@@ -272,9 +197,9 @@
         auto handlers = std::exchange(m_handlers, {});
         m_isBusy = false;
         m_callTimer.cancel();
-        bool isReusable = m_keepAlive && m_isWritten && !m_input.size() && !m_isClosed;
+        bool isReusable = m_answer->isReusable() && m_isWritten && !m_isClosed;
         if (isReusable) {
-            m_reusableUntil = currentInstant() + reusableFor(m_head.headers);
+            m_reusableUntil = currentInstant() + reusableFor(m_answer->head().headers);
             m_request = {};
             m_pool.m_idle[m_replica].push_back(shared_from_this());
         } else {
@@ -298,22 +223,16 @@
     Tcp::socket m_socket;
     Timer m_timer; ///< Limits the time to connect.
     Timer m_callTimer; ///< Limits the time of the call.
-    boost::beast::flat_buffer m_input;
     std::array<char, 4096> m_chunk {};
-    std::optional<ResponseParser> m_parser;
+    std::optional<AnswerReader> m_answer; ///< Of the present call.
     UpstreamRequest m_request;
     UpstreamCallHandlers m_handlers;
-    UpstreamHead m_head;
     Instant m_reusableUntil;
     std::uint64_t m_call = 0;
-    std::size_t m_precedingBytes = 0; ///< Of the present call.
     bool m_isConnected = false;
     bool m_isBusy = false;
     bool m_isWritten = false;
     bool m_mayHaveRun = false;
-    bool m_hasHead = false;
-    bool m_isSkipping = false;
-    bool m_keepAlive = true;
     bool m_isClosed = false;
 };
 
--- a/src/connection/UpstreamPool.h
+++ b/src/connection/UpstreamPool.h
@@ -13,6 +13,7 @@
  */
 #pragma once
 
+#include "connection/AnswerReader.h"
 #include "connection/Asio.h"
 #include "message/Messages.h"
 
@@ -25,12 +26,6 @@
 
 namespace wrenhinge {
 
-/// The status line and headers of an answer, as received.
-struct UpstreamHead {
-    int status = 0;
-    HeaderList headers;
-};
-
 /// What to do with an answer that has arrived on a connection.
 enum class AnswerOwner : std::uint8_t {
     ThisCall,
