An answer whose status can't exist is no answer

Callers saw: answers with status 0, 1, 99, 600, 777 or 999 and the replica's signature, on all kinds of routes, when a replica sent 000, 001, 099 or a number beyond 599. A sidecar took an unasked 101 for a whole answer.

Cause: the parser checks that a status has three digits, and nothing else did. Everything behind it compares: "is it 5xx", "is it below 400", so a status below 200 counted as a sound answer that ends a request, also at a sidecar.

Now AnswerReader, where all answers are read, accepts the statuses that the protocol has (100 to 599); 1xx are interim, and 101 is refused, since no request asks to leave the protocol. What is refused fails its call as one that may have run: another replica where the route allows it, else 502 without a signature. So nothing behind the reader meets such a status.

--- a/src/connection/AnswerReader.cpp
+++ b/src/connection/AnswerReader.cpp
@@ -10,6 +10,26 @@
 
     constexpr std::uint32_t headLimit = 64 * 1024;
 
+    /// Of all three-digit numbers, the protocol gives a meaning to these alone. Below are interim answers.
+    constexpr unsigned minStatus = 200;
+    constexpr unsigned maxStatus = 599;
+    constexpr unsigned minInterimStatus = 100;
+    /// Interim in name, but the connection leaves the protocol after it. No request asks for that.
+    constexpr unsigned switchingStatus = 101;
+
+    using Head = http::response_header<>;
+
+    bool isInterim(unsigned status) { return status >= minInterimStatus && status < minStatus; }
+
+    /// \returns why the head is no answer's, or nothing.
+    const char* faultOf(const Head& head)
+    {
+        auto status = head.result_int();
+        if (status < minInterimStatus || status > maxStatus || status == switchingStatus)
+            return "the answer's status can't exist";
+        return nullptr;
+    }
+
 } // namespace
 
 AnswerReader::AnswerReader(std::uint64_t bodyLimit, bool isToHead)
@@ -77,7 +97,9 @@
 AnswerReader::Part AnswerReader::takeHead()
 {
     const auto& message = m_parser->get();
-    if (message.result_int() / 100 == 1) {
+    if (const auto* fault = faultOf(message))
+        return fail(fault);
+    if (isInterim(message.result_int())) {
         expectAnswer();
         return Part::None;
     }
--- a/src/connection/AnswerReader.h
+++ b/src/connection/AnswerReader.h
@@ -21,7 +21,7 @@
 
 /// The status line and headers of an answer, as received.
 struct UpstreamHead {
-    int status = 0;
+    int status = 0; ///< 200 to 599 if read by AnswerReader.
     HeaderList headers;
 };
 
--- a/test/correctness/BrokenAnswerTest.cpp
+++ b/test/correctness/BrokenAnswerTest.cpp
@@ -138,6 +138,12 @@
 
 } // namespace
 
+TEST_CASE("an answer whose status can't exist is no answer")
+{
+    // Guards against a status that no caller understands, passed on with the signature of a replica in trouble.
+    checkBroken(impossibleStatuses);
+}
+
 TEST_CASE("an answer whose head breaks the grammar is no answer")
 {
     // Guards against heads that are passed on by a guess at what they mean.
--- a/test/support/RawAnswers.h
+++ b/test/support/RawAnswers.h
@@ -45,6 +45,9 @@
     return answers;
 }
 
+/// Three digits that are no status.
+inline const auto impossibleStatuses = withStatusLines({ "HTTP/1.1 000 ", "HTTP/1.1 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK",
+    "HTTP/1.0 000 OK", "HTTP/1.1 600 Odd", "HTTP/1.1 777 Odd", "HTTP/1.1 999 Odd", "HTTP/1.1 101 Switching Protocols" });
 inline const auto brokenStatusLines = withStatusLines(
     { "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK", "HTTP/2.0 200 OK",
         "HTTP/1.2 200 OK", "HTTP/0.9 200 OK", "http/1.1 200 OK", "200 OK", std::string("HTTP/1.1 200 O\0K", 16), "HTTP/1.1 200 O\x01K" });
