An answer in a transfer coding other than chunked is no answer

Callers saw: 200 and a body that is not the replica's, whole by all signs, when a replica sent `Transfer-Encoding: gzip`, `chunked, gzip`, `chunked, chunked` or another coding: the field was removed as one of the connection, and the coded bytes were passed on. With `gzip, chunked` the chunks were taken off and the coded bytes passed on.

Cause: the parser takes whatever is not a single last `chunked` for a body without a length that ends with its connection, and takes `gzip, chunked` for plain chunks. Nobody asked which codings there were.

Now AnswerReader accepts no transfer coding, or `chunked` alone, and chunks only in HTTP/1.1: requests announce no other coding, so a replica may send none, and where such a body ends is not known. Not a list of bad codings: all but the one are refused.

`Chunked` with extensions and a trailer is passed on as before.

--- a/src/connection/AnswerReader.cpp
+++ b/src/connection/AnswerReader.cpp
@@ -17,8 +17,21 @@
     /// Interim in name, but the connection leaves the protocol after it. No request asks for that.
     constexpr unsigned switchingStatus = 101;
 
+    constexpr unsigned firstVersionWithChunks = 11;
+
     using Head = http::response_header<>;
 
+    /// Whether the body can be read: requests accept no transfer coding but chunks, which alone tell where it ends. The parser takes any
+    /// other coding for a body that ends with its connection.
+    bool hasReadableCoding(const Head& head)
+    {
+        auto codings = head.equal_range(http::field::transfer_encoding);
+        if (codings.first == codings.second)
+            return true;
+        bool isOnly = std::next(codings.first) == codings.second;
+        return isOnly && boost::beast::iequals(codings.first->value(), "chunked") && head.version() >= firstVersionWithChunks;
+    }
+
     bool isInterim(unsigned status) { return status >= minInterimStatus && status < minStatus; }
 
     /// \returns why the head is no answer's, or nothing.
@@ -27,6 +40,8 @@
         auto status = head.result_int();
         if (status < minInterimStatus || status > maxStatus || status == switchingStatus)
             return "the answer's status can't exist";
+        if (!hasReadableCoding(head))
+            return "the answer has a transfer coding other than chunked";
         return nullptr;
     }
 
--- a/test/correctness/BrokenAnswerTest.cpp
+++ b/test/correctness/BrokenAnswerTest.cpp
@@ -144,6 +144,12 @@
     checkBroken(impossibleStatuses);
 }
 
+TEST_CASE("an answer whose body is in a transfer coding other than chunked is no answer")
+{
+    // Guards against coded bytes that are passed on as if they were the body.
+    checkBroken(unknownCodings);
+}
+
 TEST_CASE("an answer whose head breaks the grammar is no answer")
 {
     // Guards against heads that are passed on by a guess at what they mean.
--- a/test/support/RawAnswers.h
+++ b/test/support/RawAnswers.h
@@ -73,6 +73,15 @@
     withBody("Transfer-Encoding: chunked", "11111111111111111\r\nok\r\n0\r\n\r\n"), withBody("Transfer-Encoding: chunked", "2\r\nok\r\n"),
     withBody("Transfer-Encoding: chunked", "2\r\nok\r\n0\r\nX Y: y\r\n\r\n"),
     withBody("Transfer-Encoding: chunked", "2\r\nok\r\n0\r\nContent-Length: 2\r\n\r\n"), withBody("Content-Length: 5", "ok") };
+/// A body in a coding that nobody has asked for, or whose end is not known.
+inline const std::vector<RawAnswer> unknownCodings { withBody("Transfer-Encoding: gzip", "ok"),
+    withBody("Transfer-Encoding: identity", "ok"), withBody("Transfer-Encoding: gzip, chunked", wholeChunks),
+    withBody("Transfer-Encoding: chunked, gzip", "ok"), withBody("Transfer-Encoding: chunked, chunked", wholeChunks),
+    withBody("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", wholeChunks),
+    withBody("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip", wholeChunks), withBody("Transfer-Encoding: xchunked", wholeChunks),
+    withBody("Transfer-Encoding: chunked;q=1", wholeChunks), withBody("Transfer-Encoding:", "ok"),
+    { "chunks by an older version", "HTTP/1.0 200 OK\r\n@Transfer-Encoding: chunked\r\n\r\n" + wholeChunks } };
+
 inline const std::vector<RawAnswer> unusualAnswers { { "no reason", "HTTP/1.1 200 \r\n@Content-Length: 2\r\n\r\nok", 200, "ok" },
     { "obsolete text", "HTTP/1.1 200 \xe4\xf6\r\n@X: caf\xe9\r\nContent-Length: 2\r\n\r\nok", 200, "ok" },
     { "a field without a value", "HTTP/1.1 200 OK\r\n@X:\r\nY: \t \r\nContent-Length: 2\r\n\r\nok", 200, "ok" },
