An answer whose head has a folded line is no answer

Callers saw: 200 with a line ` X: y` joined to the value before it, which may be the replica's signature, the request id or a length.

Cause: the parser still knows the old line folding, and joins a line that begins with a blank to the field before.

The protocol leaves a gateway the choice: refuse such an answer with 502, or replace the fold by blanks. It is refused here. A line that begins with a blank can't be told from a field whose name begins with one, which is what a replica in trouble sends; joined, it changes a field that must be passed on unchanged, and a success with a changed signature is worse than a failure. No sender may fold lines any more.

--- a/src/connection/AnswerReader.cpp
+++ b/src/connection/AnswerReader.cpp
@@ -21,6 +21,13 @@
 
     using Head = http::response_header<>;
 
+    /// Whether a line begins with a blank. Such a line once continued the value before it, and is now a field to some and part of another
+    /// field to others.
+    bool hasFoldedLine(std::string_view bytes)
+    {
+        return bytes.find("\r\n ") != std::string_view::npos || bytes.find("\r\n\t") != std::string_view::npos;
+    }
+
     /// Whether the body can be read: requests accept no transfer coding but chunks, which alone tell where it ends. The parser takes any
     /// other coding for a body that ends with its connection.
     bool hasReadableCoding(const Head& head)
@@ -34,12 +41,14 @@
 
     bool isInterim(unsigned status) { return status >= minInterimStatus && status < minStatus; }
 
-    /// \returns why the head is no answer's, or nothing.
-    const char* faultOf(const Head& head)
+    /// \returns why the head is no answer's, or nothing. \param bytes as received.
+    const char* faultOf(const Head& head, std::string_view bytes)
     {
         auto status = head.result_int();
         if (status < minInterimStatus || status > maxStatus || status == switchingStatus)
             return "the answer's status can't exist";
+        if (hasFoldedLine(bytes))
+            return "the answer's head has a folded line";
         if (!hasReadableCoding(head))
             return "the answer has a transfer coding other than chunked";
         return nullptr;
@@ -91,8 +100,9 @@
         if (m_precedingBytes > precedingBytesLimit)
             return fail("more bytes than allowed precede the answer");
         if (!m_hasHead && m_parser->is_header_done()) {
+            auto part = takeHead({ static_cast<const char*>(m_input.data().data()), n });
             m_input.consume(n);
-            if (auto part = takeHead(); part != Part::None)
+            if (part != Part::None)
                 return part;
             continue;
         }
@@ -108,11 +118,11 @@
     }
 }
 
-/// \returns `None` for an interim answer, which is skipped.
-AnswerReader::Part AnswerReader::takeHead()
+/// \param bytes of the head. \returns `None` for an interim answer, which is skipped.
+AnswerReader::Part AnswerReader::takeHead(std::string_view bytes)
 {
     const auto& message = m_parser->get();
-    if (const auto* fault = faultOf(message))
+    if (const auto* fault = faultOf(message, bytes))
         return fail(fault);
     if (isInterim(message.result_int())) {
         expectAnswer();
--- a/src/connection/AnswerReader.h
+++ b/src/connection/AnswerReader.h
@@ -65,7 +65,7 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     void expectAnswer();
-    Part takeHead();
+    Part takeHead(std::string_view bytes);
     Part fail(std::string why);
 
     std::uint64_t m_bodyLimit;
--- a/test/correctness/BrokenAnswerTest.cpp
+++ b/test/correctness/BrokenAnswerTest.cpp
@@ -150,6 +150,13 @@
     checkBroken(unknownCodings);
 }
 
+TEST_CASE("an answer with a folded line is no answer")
+{
+    // Guards against a line that becomes part of the field before it.
+    checkBroken(foldedLines);
+    checkBroken(foldedFirstLine);
+}
+
 TEST_CASE("an answer whose head breaks the grammar is no answer")
 {
     // Guards against heads that are passed on by a guess at what they mean.
--- a/test/support/RawAnswers.h
+++ b/test/support/RawAnswers.h
@@ -60,6 +60,10 @@
     "X: a\x7f"
     "b",
     "X: a\rb" });
+/// A line that begins with a blank, after a field.
+inline const auto foldedLines = withLines({ "X: x\r\n Y: y", "X: x\r\n\tY: y", "X: x\r\n ", " Y: y", "\tY: y", " " });
+inline const std::vector<RawAnswer> foldedFirstLine { { "first line", "HTTP/1.1 200 OK\r\n X: x\r\n@Content-Length: 2\r\n\r\nok" } };
+
 inline const auto brokenLengths = withLines({ "Content-Length: +2", "Content-Length: -2", "Content-Length: 0x2", "Content-Length: 2a",
     "Content-Length: 2, 3", "Content-Length: 3", "Content-Length:", "Content-Length: 99999999999999999999", "Transfer-Encoding: chunked" });
 
