An answer without length that is reset during the upload is not whole

Callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of its body, and reset the connection while the upload was still being written. They got that part as the whole answer (200).

Cause: the system reports a reset once, to whichever call of the socket comes first. Where that was the write, UpstreamPool dropped the error, "since the read fails too"; but the read then finds a clean end of file, and an answer without a length is whole at a clean end. That it was seen only with a reset at once had another reason than time: an upload of 3 MiB is taken by the system whole within some milliseconds, and then only the read can learn of the reset.

Now the pool remembers how far the request was written. At an end of file that would complete an answer, a write in progress is stopped and asked first: if it had failed, the answer is cut, and the call fails as one that may have run. A replica that only closes its side, after a whole answer, is believed as before, without waiting for the upload. An answer that states its length or has chunks doesn't depend on how its connection ends, and is unchanged. If a replica closes its side and resets at once, the write may see the reset before the read sees the end: refused, as the two can't be told apart.

The same cause elsewhere: a sidecar's call writes all before it reads, so no write can take a reset that belongs to the answer; links between processes and callers' connections complete nothing by an end of file.

--- a/src/connection/UpstreamPool.cpp
+++ b/src/connection/UpstreamPool.cpp
@@ -71,7 +71,7 @@
         m_request = std::move(request);
         m_handlers = std::move(handlers);
         m_isBusy = true;
-        m_isWritten = false;
+        m_writing = Writing::NotBegun;
         m_mayHaveRun = false;
         m_answer.emplace(m_handlers.bodyLimit, m_request.isHead);
         if (m_handlers.timeLimit)
@@ -112,21 +112,40 @@
     [[nodiscard]] bool isUsable(Instant now) { return !m_isClosed && !m_isBusy && now < m_reusableUntil && isQuiet(m_socket); }
 
 private:
+    /// How far the request has been written.
+    enum class Writing : std::uint8_t {
+        NotBegun,
+        InProgress,
+        Failed, ///< With some bytes written.
+        Complete,
+    };
+
     void write()
     {
         m_mayHaveRun = true;
+        m_writing = Writing::InProgress;
         std::array<boost::asio::const_buffer, 2> parts { boost::asio::buffer(m_request.bytes) };
         if (m_request.body)
             parts[1] = boost::asio::buffer(*m_request.body);
-        boost::asio::async_write(m_socket, parts, [self = shared_from_this()](ErrorCode ec, std::size_t n) {
-            // A write that fails after some bytes also fails the read, which may still find an answer.
-            if (!ec) {
-                self->m_isWritten = true;
-            } else if (!n && self->m_isBusy) {
-                self->m_mayHaveRun = false;
-                self->fail("nothing could be written: " + ec.message());
-            }
-        });
+        boost::asio::async_write(m_socket, parts, [self = shared_from_this()](ErrorCode ec, std::size_t n) { self->written(ec, n); });
+    }
+
+    void written(ErrorCode ec, std::size_t n)
+    {
+        if (m_hasReadEnd) {
+            // The write was stopped by `ended`, unless it had failed before.
+            m_writing = ec && ec != boost::asio::error::operation_aborted ? Writing::Failed : Writing::Complete;
+            return ended(boost::asio::error::eof);
+        }
+        if (!ec) {
+            m_writing = Writing::Complete;
+        } else if (!n && m_isBusy) {
+            m_mayHaveRun = false;
+            fail("nothing could be written: " + ec.message());
+        } else {
+            // The read may still find an answer.
+            m_writing = Writing::Failed;
+        }
     }
 
     void read()
@@ -155,12 +174,21 @@
         read();
     }
 
-    /// The connection has ended. An answer without a length is complete if it ended with an end of file.
+    /// The connection has ended. An answer that ends with it is complete if the replica has closed it, and cut if it was reset. The system
+    /// reports a reset once only: if that was to the write, the read finds a clean end.
     void ended(ErrorCode why)
     {
-        if (why == boost::asio::error::eof && m_answer->endsWithConnection())
-            return finish();
-        fail(why == boost::asio::error::eof ? "the connection ended" : "the connection failed: " + why.message());
+        if (m_isClosed || why != boost::asio::error::eof || !m_answer->endsWithConnection())
+            return fail(why == boost::asio::error::eof ? "the connection ended" : "the connection failed: " + why.message());
+        if (m_writing == Writing::InProgress) {
+            m_hasReadEnd = true;
+            ErrorCode ignored;
+            m_socket.cancel(ignored);
+            return;
+        }
+        if (m_writing == Writing::Failed)
+            return fail("the connection was reset before the request was written");
+        finish();
     }
 
     void takeParts()
@@ -197,7 +225,7 @@
         auto handlers = std::exchange(m_handlers, {});
         m_isBusy = false;
         m_callTimer.cancel();
-        bool isReusable = m_answer->isReusable() && m_isWritten && !m_isClosed;
+        bool isReusable = m_answer->isReusable() && m_writing == Writing::Complete && !m_isClosed;
         if (isReusable) {
             m_reusableUntil = currentInstant() + reusableFor(m_answer->head().headers);
             m_request = {};
@@ -229,10 +257,11 @@
     UpstreamCallHandlers m_handlers;
     Instant m_reusableUntil;
     std::uint64_t m_call = 0;
+    Writing m_writing = Writing::NotBegun;
     bool m_isConnected = false;
     bool m_isBusy = false;
-    bool m_isWritten = false;
     bool m_mayHaveRun = false;
+    bool m_hasReadEnd = false; ///< The read has found the connection's end, and the write has not ended yet.
     bool m_isClosed = false;
 };
 
--- a/test/correctness/BrokenAnswerTest.cpp
+++ b/test/correctness/BrokenAnswerTest.cpp
@@ -172,6 +172,37 @@
     checkBroken(brokenChunks, true);
 }
 
+TEST_CASE("an answer without length whose connection ends during the upload is whole if it was closed, and cut if it was reset")
+{
+    // Guards against a part of a body that looks like all of it: the failed write takes the reset, and the read sees a clean end.
+    const std::string upload(uploadBytes, 'x');
+    for (bool isReset : { true, false }) {
+        for (auto pause : { 0ms, 1ms, 20ms }) {
+            CAPTURE(isReset);
+            CAPTURE(pause.count());
+            for (int i = 0; i < 10; ++i) {
+                AcceptLoop replica([isReset, pause](Tcp::socket& socket) {
+                    std::string request;
+                    ErrorCode ec;
+                    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", ec);
+                    boost::asio::write(socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nbody")), ec);
+                    std::this_thread::sleep_for(pause);
+                    if (isReset) {
+                        socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+                        socket.close(ec);
+                    } else {
+                        socket.shutdown(Tcp::socket::shutdown_send, ec);
+                        boost::asio::read(socket, boost::asio::dynamic_buffer(request), ec);
+                    }
+                });
+                auto outcome = callOfGateway(replica.address(), upload);
+                CHECK(outcome.isWhole != isReset);
+                CHECK((isReset || outcome.body == "body"));
+            }
+        }
+    }
+}
+
 TEST_CASE("an unusual answer that the protocol allows is passed on")
 {
     for (const auto& answer : unusualAnswers) {
