A folded line is seen wherever its bytes are split

Cause: the parser takes a head in pieces: fields that are complete, and later the rest. The check saw the last piece alone, so a blank at its beginning did not follow a line's end.

--- a/src/connection/AnswerReader.cpp
+++ b/src/connection/AnswerReader.cpp
@@ -70,6 +70,7 @@
     m_parser->body_limit(m_bodyLimit);
     if (m_isToHead)
         m_parser->skip(true);
+    m_headBytes.clear();
     m_hasHead = false;
     m_isSkipping = false;
 }
@@ -99,14 +100,15 @@
         m_precedingBytes += !m_hasHead || m_isSkipping ? n : 0;
         if (m_precedingBytes > precedingBytesLimit)
             return fail("more bytes than allowed precede the answer");
+        // The parser takes a head in several pieces if its bytes come so.
+        if (!m_hasHead)
+            m_headBytes.append(static_cast<const char*>(m_input.data().data()), n);
+        m_input.consume(n);
         if (!m_hasHead && m_parser->is_header_done()) {
-            auto part = takeHead({ static_cast<const char*>(m_input.data().data()), n });
-            m_input.consume(n);
-            if (part != Part::None)
+            if (auto part = takeHead(); part != Part::None)
                 return part;
             continue;
         }
-        m_input.consume(n);
         if (m_isSkipping)
             m_parser->get().body().clear();
         else if (m_hasHead && !m_parser->get().body().empty())
@@ -118,12 +120,13 @@
     }
 }
 
-/// \param bytes of the head. \returns `None` for an interim answer, which is skipped.
-AnswerReader::Part AnswerReader::takeHead(std::string_view bytes)
+/// \returns `None` for an interim answer, which is skipped.
+AnswerReader::Part AnswerReader::takeHead()
 {
     const auto& message = m_parser->get();
-    if (const auto* fault = faultOf(message, bytes))
+    if (const auto* fault = faultOf(message, m_headBytes))
         return fail(fault);
+    m_headBytes = {};
     if (isInterim(message.result_int())) {
         expectAnswer();
         return Part::None;
--- a/src/connection/AnswerReader.h
+++ b/src/connection/AnswerReader.h
@@ -65,13 +65,14 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     void expectAnswer();
-    Part takeHead(std::string_view bytes);
+    Part takeHead();
     Part fail(std::string why);
 
     std::uint64_t m_bodyLimit;
     bool m_isToHead;
     boost::beast::flat_buffer m_input;
     std::optional<Parser> m_parser;
+    std::string m_headBytes; ///< As received, of the head that is being read.
     UpstreamHead m_head;
     std::string m_fault;
     std::size_t m_precedingBytes = 0;
--- a/test/correctness/BrokenAnswerTest.cpp
+++ b/test/correctness/BrokenAnswerTest.cpp
@@ -3,6 +3,7 @@
  */
 #include "AcceptLoop.h"
 #include "RawAnswers.h"
+#include "connection/AnswerReader.h"
 #include "connection/UpstreamClient.h"
 #include "connection/UpstreamPool.h"
 
@@ -107,6 +108,28 @@
     return outcome;
 }
 
+/// What a reader makes of an answer that comes in two pieces, the first of this size.
+Outcome readInTwo(const std::string& bytes, std::size_t first)
+{
+    AnswerReader reader(bytes.size(), false);
+    Outcome outcome;
+    for (const auto& piece : { bytes.substr(0, first), bytes.substr(first) }) {
+        reader.add(piece);
+        for (auto part = AnswerReader::Part::Head; part != AnswerReader::Part::None;) {
+            part = reader.next();
+            if (part == AnswerReader::Part::Head)
+                outcome.status = reader.head().status;
+            else if (part == AnswerReader::Part::Body)
+                outcome.body += reader.takeBody();
+            outcome.isWhole = part == AnswerReader::Part::End;
+            if (outcome.isWhole || part == AnswerReader::Part::Fault)
+                return outcome;
+        }
+    }
+    outcome.isWhole = reader.endsWithConnection();
+    return outcome;
+}
+
 /// Lets both kinds of callers ask for the answer, in one piece and byte by byte.
 template <typename F> void ask(const RawAnswer& answer, F check)
 {
@@ -172,6 +195,25 @@
     checkBroken(brokenChunks, true);
 }
 
+TEST_CASE("what an answer is does not depend on how its bytes are split")
+{
+    // Guards against a broken head whose two sides of the break are read one after the other.
+    for (const auto& answers : { impossibleStatuses, unknownCodings, foldedLines, foldedFirstLine, brokenStatusLines, brokenFieldNames,
+             brokenFieldValues, brokenLengths, unusualAnswers }) {
+        for (const auto& answer : answers) {
+            CAPTURE(answer.name);
+            auto bytes = withIdentity(answer, "Id: me\r\n");
+            for (std::size_t i = 0; i <= bytes.size(); ++i) {
+                CAPTURE(i);
+                auto outcome = readInTwo(bytes, i);
+                CHECK(outcome.isWhole == (answer.status != 0));
+                CHECK(outcome.status == answer.status);
+                CHECK(outcome.body == answer.body);
+            }
+        }
+    }
+}
+
 TEST_CASE("an answer without length whose connection ends during the upload is whole if it was closed, and cut if it was reset")
 {
     // Guards against a part of a body that looks like all of it: the failed write takes the reset, and the read sees a clean end.
