A request that would outlive a stopping gateway is refused as not run, whenever it is about to be passed on

Cause: only streams were asked whether they would end in time, and only when they arrived. A whole answer was passed on up to the last moment, and so was a second call after a failure or a refusal.

Now each whole answer's time is recorded by service (the longest of the last hundred, as for streams), and the question is asked when a request begins, when its turn comes after a wait for a document, a permit or a prefill, before it is sent again, and before a slow call is given up for another. Refused: 503 as not run with a Retry-After of 10 ms, or 502 where an earlier call may have run. Passed on as before: what its caller or route ends in time, and the rest of a stream that has begun. A stream's first call is still decided on when its request has come whole: to refuse it later would waste its prefill. With fewer than 50 answers of a service there is no forecast, and what may outlive the process is refused, as for streams.

The own protocol's gateway refuses all that comes in a stop: looked at, not concerned.

--- a/src/request/forward/ForwardAnswers.cpp
+++ b/src/request/forward/ForwardAnswers.cpp
@@ -145,6 +145,7 @@
         return endStream(*flow, now);
     if (!flow->route->hasPrompt)
         m_shedder.noteAnswer(flow->service, now - flow->sentAt, flow->route->target, now);
+    m_answerForecast.note(flow->service, 0, now - flow->sentAt, Duration::zero());
     bool isFailure = metadata.status >= 500;
     endCall(*flow, isFailure ? CallOutcome::Failed : CallOutcome::Served, now);
     ++flow->runs;
@@ -255,8 +256,8 @@
 /// Sends the request again if its route, the number of sends, the available replicas and the retry budget allow it.
 bool ForwardLogic::resend(Flow& flow, Instant now)
 {
-    bool isPossible
-        = mayRunAgain(flow) && !crashesReplicas(flow, now) && flow.sends < maxSends && choose(flow, criteriaOf(flow), flow.tried, now);
+    bool isPossible = mayRunAgain(flow) && !crashesReplicas(flow, now) && !mayOutliveProcess(flow, now) && flow.sends < maxSends
+        && choose(flow, criteriaOf(flow), flow.tried, now);
     return isPossible && takeRetry(flow, now) && (repeatPrefill(flow, now) || send(flow, now));
 }
 
@@ -277,6 +278,8 @@
     }
     if (crashesReplicas(flow, now))
         return refuseAsCrashing(flow, now);
+    if (!flow.runs && refuseIfMayOutliveProcess(flow, now))
+        return;
     if (refuseIfVersionIsGone(flow, now))
         return;
     if (auto atLimit = replicasAtLimit(flow, now); !flow.runs && !atLimit.empty())
--- a/src/request/forward/ForwardLogic.cpp
+++ b/src/request/forward/ForwardLogic.cpp
@@ -20,8 +20,6 @@
     constexpr std::uint32_t outputDivisorAtPeak = 4;
     /// Without an estimate of the caller, the expected length of an answer is its upper limit divided by this.
     constexpr std::uint32_t defaultOutputDivisor = 2;
-    /// Retry-After when another gateway can take the request at once. Not zero, which some clients treat as absent.
-    constexpr Duration drainingRetryAfter = 10ms;
     /// In bytes; callers choose their ids.
     constexpr std::size_t longestLoggedId = 64;
 
@@ -197,8 +195,8 @@
     if (crashesReplicas(flow, now))
         return refuseAsCrashing(flow, now);
     tryConvicted(flow);
-    if (mayOutliveProcess(flow))
-        return refuseAsDraining(flow, now);
+    if (refuseIfMayOutliveProcess(flow, now))
+        return;
     if (!chargeQuota(flow, now))
         return;
     if (shedLoad(flow, now))
@@ -221,6 +219,10 @@
 {
     if (crashesReplicas(flow, now))
         return refuseAsCrashing(flow, now);
+    // The first call of a stream was decided on when its request came: to refuse it now would waste its prefill.
+    bool isDecided = flow.route->isStream && !flow.sends;
+    if (!isDecided && refuseIfMayOutliveProcess(flow, now))
+        return;
     if (send(flow, now))
         return;
     if (flow.runs)
@@ -389,33 +391,4 @@
     m_effects.push_back(LogEvent { code, flow.id, std::move(text) });
 }
 
-// --- Shutdown of this process -----------------------------------------------------------------------------------
-
-/// Whether the stream might outlive this process. It is refused even if only one in a hundred like it would be cut off: a refusal costs
-/// it about 100 ms on the way to another gateway, a cut all of its seconds. With too few samples for a forecast, any stream might be cut
-/// off. A caller that another stopping gateway has refused can't be told from one with a shorter timeout; it may have no attempt left,
-/// but learns that at once.
-bool ForwardLogic::mayOutliveProcess(const Flow& flow) const
-{
-    if (!m_shutdownAt || !flow.route->isStream || flow.deadline <= *m_shutdownAt)
-        return false;
-    auto forecast = m_forecast.longest(flow.service, expectedTokensOf(flow));
-    return !forecast || flow.arrivedAt + *forecast > *m_shutdownAt;
-}
-
-void ForwardLogic::refuseAsDraining(Flow& flow, Instant now)
-{
-    refuseUntil(flow, ResultCode::Draining, "this gateway shuts down before the stream would end", drainingRetryAfter, now);
-}
-
-/// Streams that still wait for a reservation have lost little time, so they are refused too.
-void ForwardLogic::on(const Stop& event, Instant now)
-{
-    m_shutdownAt = event.deadline;
-    for (const auto& id : m_queue.inOrder(now)) {
-        if (auto& flow = m_flows.at(id); mayOutliveProcess(flow))
-            refuseAsDraining(flow, now);
-    }
-}
-
 } // namespace wrenhinge
--- a/src/request/forward/ForwardLogic.h
+++ b/src/request/forward/ForwardLogic.h
@@ -244,8 +244,11 @@
     std::optional<ReplicaTable::Choice> chooseForRun(Flow&, Instant);
     [[nodiscard]] Instant admitBy(const Flow&) const;
     [[nodiscard]] Duration timeSpentBefore(const Flow&) const;
-    [[nodiscard]] bool mayOutliveProcess(const Flow&) const;
+    // Shutdown of this process (ForwardShutdown.cpp).
+    [[nodiscard]] std::optional<Duration> forecast(const Flow&, Instant) const;
+    [[nodiscard]] bool mayOutliveProcess(const Flow&, Instant) const;
     void refuseAsDraining(Flow&, Instant);
+    bool refuseIfMayOutliveProcess(Flow&, Instant);
     bool takeRetry(const Flow&, Instant);
     void recordRetryNotAllowed(const Flow&, Instant);
     bool resend(Flow&, Instant);
@@ -313,6 +316,7 @@
     bool m_hasNewConviction = false; ///< Requests with convicted content that have not run are refused at the end of the step.
     LoadShedder m_shedder; ///< For plain services; engines have reservations.
     StreamForecast m_forecast;
+    StreamForecast m_answerForecast; ///< Of whole answers, counted from the call: each ends with its first byte.
     BufferBudget<RequestId> m_buffered { m_settings.bufferedBytes };
     std::optional<Instant> m_shutdownAt; ///< When this process exits; set once shutdown has begun.
     std::unordered_map<RequestId, Flow> m_flows;
--- a/src/request/forward/ForwardTime.cpp
+++ b/src/request/forward/ForwardTime.cpp
@@ -157,7 +157,7 @@
     // While replicas are full, a second call would only make both late.
     bool isOverloaded = m_shedder.refusedShare(flow.service) > 0;
     bool isPossible = !isOverloaded && flow.runs + 1 < flow.route->maxAttempts && flow.sends < maxSends && !crashesReplicas(flow, now)
-        && choose(flow, criteriaOf(flow), flow.tried, now);
+        && !mayOutliveProcess(flow, now) && choose(flow, criteriaOf(flow), flow.tried, now);
     if (!isPossible || !takeRetry(flow, now)) {
         flow.isLeftToEnd = true;
         return scheduleWake(flow);
--- a/test/correctness/ForwardTest.cpp
+++ b/test/correctness/ForwardTest.cpp
@@ -601,6 +601,38 @@
 
 constexpr Duration stopLimit = 7500ms;
 
+/// From now on requests may take longer than the process has left once it stops.
+void allowLongAnswers(Bench& bench)
+{
+    auto longer = document(2);
+    for (auto& route : longer.routes) {
+        route.timeout = 60s;
+        route.target = 30s;
+    }
+    bench.post(DocumentReceived { longer, true });
+}
+
+/// Serves so many requests of the plain service, each of which takes this long.
+void serveAnswers(Bench& bench, std::size_t n, Duration each)
+{
+    for (std::size_t i = 0; i < n; ++i) {
+        bench.submit("/once/x", 60s);
+        auto send = bench.only<Send>();
+        bench.now += each;
+        bench.answer(send, 200);
+        REQUIRE(bench.effects<Reply>().size() == 1);
+    }
+}
+
+/// That it was refused at once as not run, because the process stops.
+void checkRefusedAsDraining(const Bench& bench)
+{
+    CHECK(bench.effects<Send>().empty());
+    auto refusal = bench.only<Refuse>();
+    CHECK(refusal.error.code == ResultCode::Draining);
+    CHECK(refusal.error.retryAfter);
+}
+
 } // namespace
 
 TEST_CASE("a gateway that shuts down refuses at once a stream that might be cut off, with a minimal Retry-After")
@@ -650,6 +682,94 @@
     }
 }
 
+TEST_CASE("a request that comes late in a shutdown is refused as not run if its answer would be cut off")
+{
+    // Guards against requests that are passed on late in a planned stop and cut off without an answer at its end.
+    Bench bench;
+    bench.serve().replica("a").replica("b");
+    allowLongAnswers(bench);
+    serveAnswers(bench, StreamForecast::minSamples, 3s);
+    bench.post(Stop { bench.now + stopLimit });
+    bench.now += 4s;
+    bench.submit("/once/x", 60s);
+    CHECK(bench.effects<Send>().size() == 1);
+    bench.now += 800ms;
+    for (const auto* path : { "/once/x", "/often/x" }) {
+        bench.submit(path, 60s);
+        checkRefusedAsDraining(bench);
+    }
+    // One whose caller or route wants no answer after the end is tried.
+    bench.submit("/once/x", 2s);
+    CHECK(bench.effects<Send>().size() == 1);
+}
+
+TEST_CASE("a request that was on its way when a shutdown began counts from when it is passed on")
+{
+    // Guards against a long upload that is taken for a request that came early.
+    Bench bench;
+    bench.serve().replica("a");
+    allowLongAnswers(bench);
+    serveAnswers(bench, StreamForecast::minSamples, 3s);
+    bench.post(Stop { bench.now + stopLimit });
+    bench.now += 5s;
+    RequestMetadata request;
+    request.readFor = 5s;
+    bench.submit("/once/x", 60s, {}, "", request);
+    checkRefusedAsDraining(bench);
+}
+
+TEST_CASE("a request is not sent again late in a shutdown if its answer would be cut off")
+{
+    // Guards against a second call that can't end in time, where the caller could have been told of the first at once.
+    Bench bench;
+    bench.serve().replica("a").replica("b");
+    allowLongAnswers(bench);
+    serveAnswers(bench, StreamForecast::minSamples, 3s);
+    bench.post(Stop { bench.now + stopLimit });
+    bench.submit("/often/x", 60s);
+    auto failed = bench.only<Send>();
+    bench.submit("/often/x", 60s);
+    auto refused = bench.only<Send>();
+    bench.now += 4800ms;
+    bench.post(CallFailed { failed.id, failed.attempt, true, "the connection ended" });
+    CHECK(bench.effects<Send>().empty());
+    CHECK(bench.only<Refuse>().error.code == ResultCode::UpstreamFailed);
+    bench.answer(refused, 503, true);
+    checkRefusedAsDraining(bench);
+}
+
+TEST_CASE("a slow call is left to end late in a shutdown")
+{
+    // Guards against giving up an answer that may still come for one that comes too late.
+    Bench bench;
+    bench.serve().replica("a").replica("b");
+    allowLongAnswers(bench);
+    serveAnswers(bench, 1, 5s);
+    serveAnswers(bench, StreamForecast::minSamples - 1, 20ms);
+    auto impatient = document(3);
+    for (auto& route : impatient.routes)
+        route.timeout = 60s;
+    bench.post(DocumentReceived { impatient, true });
+    bench.post(Stop { bench.now + stopLimit });
+    bench.now += 2s;
+    bench.submit("/often/x", 60s);
+    CHECK(bench.effects<Send>().size() == 1);
+    bench.wait(1s);
+    CHECK(bench.effects<Send>().empty());
+    CHECK(bench.effects<CancelCall>().empty());
+}
+
+TEST_CASE("without a forecast, a shutting down gateway refuses requests that may outlive it")
+{
+    Bench bench;
+    bench.serve().replica("a");
+    allowLongAnswers(bench);
+    serveAnswers(bench, StreamForecast::minSamples - 1, 3s);
+    bench.post(Stop { bench.now + stopLimit });
+    bench.submit("/once/x", 60s);
+    checkRefusedAsDraining(bench);
+}
+
 TEST_CASE("callers with different timeouts at their first attempt wait equally long for a reservation; retries go behind")
 {
     // Guards against refusing two in three requests after 150 ms while all decode replicas are full and the others wait for 0.6 s.
