--- a/review/support-2/Harness.h
+++ b/review/support-2/Harness.h
@@ -390,6 +390,8 @@
         m_isStopped = false;
         m_threads.emplace_back([this, fd = m_listener.fd()] { accept(fd); });
     }
+    /// Listens no more, and leaves its connections open.
+    void closeListener() { ::shutdown(m_listener.fd(), SHUT_RDWR); }
     /// The process is killed: it listens no more, and all its connections end.
     void stop()
     {
