--- a/review/8/Case.cpp
+++ b/review/8/Case.cpp
@@ -2,7 +2,7 @@
  * A replica starts again under its id, its first heartbeat arrives seconds late, and meanwhile it withdraws. Once its withdrawal is
  * acknowledged, the late heartbeat must not bring it back.
  */
-#include "Harness.h"
+#include "../support-2/Harness.h"
 
 using namespace harness;
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,5 +6,5 @@
 for source in review/[4-8]/*.cpp; do
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread -Ireview/support-2 -o "target/review/case-$number" "$source"
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review/case-$number" "$source"
 done
